--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,9 +8,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from deckvale import choice
-from deckvale import interface as api
-from deckvale.interface import Effect, Note, Outcome, Scope, State
 from tests.script import (
     CACHES,
     CLASSES,
@@ -27,6 +24,9 @@
     origin,
     parent,
 )
+from threadhill import choice
+from threadhill import interface as api
+from threadhill.interface import Effect, Note, Outcome, Scope, State
 
 NEVER_RAN = sorted(api.NEVER_RAN, key=lambda o: o.value)
 MAYBE_RAN = [Outcome.ERROR, Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CANCELLED]
--- a/tests/test_wirehost.py
+++ b/tests/test_simhost.py
@@ -11,21 +11,21 @@
 
 import pytest
 
-from deckvale import interface as api
-from deckvale import wirehost
+from threadhill import interface as api
+from threadhill import simhost
 
 ROOT = Path(__file__).resolve().parent.parent
 LINES = (Path(__file__).parent / "recorded.jsonl").read_text(encoding="utf-8").splitlines()
 
 
 def run(lines: list[str]) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "deckvale.wirehost"], input="\n".join(lines) + "\n",
+    return subprocess.run([sys.executable, "-m", "threadhill.simhost"], input="\n".join(lines) + "\n",
                           capture_output=True, text=True, cwd=ROOT, timeout=60, check=False)
 
 
 def play(lines: list[str]) -> list[list[Any]]:
     out = io.StringIO()
-    host = wirehost.Host(out)
+    host = simhost.Host(out)
     for line in lines:
         host.line(line)
     return [json.loads(line) for line in out.getvalue().splitlines()]
@@ -70,23 +70,23 @@
 
 def test_settings_are_read_and_unknown_keys_skipped() -> None:
     options = json.loads(LINES[1])[3]
-    read = wirehost.read_settings(options)
+    read = simhost.read_settings(options)
     assert read.parent_kind == "parent" and read.origin_kind == "origin"
     assert read.tells is api.Tells.ALL and read.siblings is api.Siblings.LOCATION
     assert read.classes["orders"].effect is api.Effect.UNSAFE and read.classes["orders"].write
     assert read.classes["tiles"].aim_stretch == 2.0 and read.classes["tiles"].fresh == 0
-    assert wirehost.read_settings({**options, "new-key": {"deep": 1}}) == read
+    assert simhost.read_settings({**options, "new-key": {"deep": 1}}) == read
 
 
 def test_nearly_empty_settings_are_enough() -> None:
-    read = wirehost.read_settings({"profiles": [{"name": "x", "repeat": "read_like"}]})
+    read = simhost.read_settings({"profiles": [{"name": "x", "repeat": "read_like"}]})
     assert read.parent_kind is None and not read.direct and read.max_attempts == 1
 
 
 def test_unknown_report_fields_and_notes_are_skipped() -> None:
-    load = wirehost.read_load({"rif": 3, "x1": 0.5, "novel": 9, "busy": "?"})
+    load = simhost.read_load({"rif": 3, "x1": 0.5, "novel": 9, "busy": "?"})
     assert load == {"inflight": 3.0, "link": 0.5}
-    end = wirehost.read_ended(["t/1", 0, 7, "delivered", 10, True, 99, None, None])
+    end = simhost.read_ended(["t/1", 0, 7, "delivered", 10, True, 99, None, None])
     assert end.note is api.Note.NONE
 
 
@@ -96,7 +96,7 @@
     def broken(self: object, now: int, event: object) -> list[api.Action]:
         raise IndexError("out of range")
 
-    monkeypatch.setattr(wirehost.Router, "handle", broken)
+    monkeypatch.setattr(simhost.Router, "handle", broken)
     assert ["crash", 3, "IndexError: out of range"] in play(LINES)
     capsys.readouterr()
 
--- a/deckvale/wirehost.py
+++ b/threadhill/simhost.py
@@ -1,6 +1,6 @@
 """The wire on standard input and output: one Router per instance, nothing shared between them.
 
-Translates only; every decision is made in deckvale.choice.
+Translates only; every decision is made in threadhill.choice.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from deckvale import interface as api
-from deckvale.choice import Router
+from threadhill import interface as api
+from threadhill.choice import Router
 
 OUTCOMES = {
     "delivered": api.Outcome.SERVED,
@@ -399,10 +399,10 @@
             if line.strip():
                 host.line(line)
         except (Malformed, UnicodeDecodeError) as error:
-            print(f"deckvale.wirehost: line {at}: {error}", file=sys.stderr)
+            print(f"threadhill.simhost: line {at}: {error}", file=sys.stderr)
             return 2
     if host.batch is not None:
-        print("deckvale.wirehost: input ended inside a batch", file=sys.stderr)
+        print("threadhill.simhost: input ended inside a batch", file=sys.stderr)
         return 2
     return 0
 
