--- a/threadhill/__init__.py
+++ b/threadhill/__init__.py
@@ -1,5 +1,3 @@
-"""threadhill: the decisions of a request router for caches that fill from parents and an origin."""
+"""threadhill: a steering proxy for caches that fill from parents and an origin."""
 
-from threadhill.choice import Router
-
-__all__ = ["Router"]
+__version__ = "0.1.0"
--- /dev/null
+++ b/threadhill/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m threadhill`: the command line."""
+
+from threadhill.cli import app
+
+app(prog_name="threadhill")
--- /dev/null
+++ b/threadhill/core/deadlines.py
@@ -0,0 +1,65 @@
+"""All deadlines in one sorted structure, swept each turn; one timer stands for its head."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sortedcontainers import SortedDict
+
+Due = Callable[[], None]
+
+
+class Deadlines:
+    """What is to happen when; `arm` is called with the time of a new head, None when nothing is left."""
+
+    def __init__(self, arm: Callable[[int | None], None]) -> None:
+        self._arm = arm
+        self._entries: SortedDict = SortedDict()  # (when, number) -> what to do
+        self._number = 0
+        self._armed: int | None = None
+        self._sweeping = False
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def add(self, when: int, due: Due) -> tuple[int, int]:
+        """Remember what is due then; the key returned takes it back."""
+        self._number += 1
+        key = (when, self._number)
+        self._entries[key] = due
+        if self._armed is None or when < self._armed:
+            self._set(when)
+        return key
+
+    def drop(self, key: tuple[int, int] | None) -> None:
+        """Take one back; one that is done already is no matter. The timer may then wake for nothing."""
+        if key is not None:
+            self._entries.pop(key, None)
+
+    def woken(self) -> None:
+        """The timer has gone off: whatever the head is now, it must be armed anew."""
+        self._armed = None
+
+    def sweep(self, now: int) -> None:
+        """Do all that is due, in order; what that adds for now or earlier is done in the same sweep."""
+        if self._sweeping:
+            return
+        self._sweeping = True
+        try:
+            self._sweep(now)
+        finally:
+            self._sweeping = False
+        head = self._entries.keys()[0][0] if self._entries else None
+        if head != self._armed:
+            self._set(head)
+
+    def _sweep(self, now: int) -> None:
+        while self._entries:
+            key = self._entries.keys()[0]
+            if key[0] > now:
+                break
+            self._entries.pop(key)()
+
+    def _set(self, when: int | None) -> None:
+        self._armed = when
+        self._arm(when)
--- /dev/null
+++ b/threadhill/core/engine.py
@@ -0,0 +1,196 @@
+"""The engine: turns the module's actions into calls on the ports, and what comes back into its events.
+
+It decides nothing: which server, how long, whether again and what the client is told comes from the Router.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from threadhill import interface as api
+from threadhill.choice import Router
+from threadhill.core.clock import Clock
+from threadhill.core.deadlines import Deadlines
+from threadhill.core.ports import Answer, Ask, Caches, Ended, Final, Front, Order
+from threadhill.core.slots import Slots
+from threadhill.stats import Stats
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that a front has taken and that has no final answer yet."""
+
+    front: Front
+    ref: int
+    ask: Ask
+    sent: int = 0  # attempts so far
+    out: list[int] = field(default_factory=list)  # handles of those under way
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt that is out; its request may be over."""
+
+    request: int
+    number: int
+    server: int
+    at: int
+    timer: tuple[int, int] | None = None
+
+
+class Engine:
+    """One Router with its tables. Events are taken one by one, in the order in which they came."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, deadlines: Deadlines, stats: Stats,
+                 log: Callable[[str], None]) -> None:
+        self.router = Router(settings, seed)
+        self.clock, self.deadlines, self.stats, self._log = clock, deadlines, stats, log
+        self.requests: Slots[Request] = Slots()
+        self.attempts: Slots[Attempt] = Slots()
+        self.caches: Caches | None = None
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+
+    def start(self, caches: Caches) -> None:
+        self.caches = caches
+        self._act(self.router.start(self.clock.now()))
+
+    # --- what fronts call
+
+    def ask(self, front: Front, ref: int, ask: Ask) -> int:
+        """Take a request; its one answer goes to `front` under `ref`, maybe before this returns."""
+        self.deadlines.sweep(self.clock.now())
+        handle = self.requests.add(Request(front, ref, ask))
+        self.stats.count("taken", ask.cls)
+        self._take(api.Request(str(handle), ask.cls, ask.object, ask.left, ask.size, ask.group, ask.part,
+                               ask.repeat, tenant=ask.tenant))
+        return handle
+
+    def gone(self, handle: int) -> None:
+        """The client of this request stopped waiting: nothing is owed, and nothing of it need go on."""
+        request = self.requests.free(handle)
+        if request is None:
+            return
+        self.stats.count("client_gone", request.ask.cls)
+        self._events.append(api.ClientGone(str(handle)))
+        self._undo_all(request)
+        self._pump()
+
+    # --- what caches and the journal call
+
+    def ended(self, handle: int, end: Ended) -> None:
+        """An attempt ended; 'served' answers its request if that still waits for one."""
+        attempt = self.attempts.free(handle)
+        if attempt is None:
+            return
+        self.deadlines.drop(attempt.timer)
+        request = self.requests.get(attempt.request)
+        closed = request is None
+        if request is not None:
+            request.out.remove(handle)
+            if end.outcome is api.Outcome.SERVED:
+                closed = True
+                self._finish(attempt.request, Answer(Final.SERVED, end.body, end.tag, end.same))
+        self.stats.count("attempt", end.outcome.value)
+        took = self.clock.now() - attempt.at
+        self._take(api.AttemptEnded(str(attempt.request), attempt.number, attempt.server, end.outcome, took,
+                                    closed, load=end.load))
+
+    def listed(self, news: api.ListNews) -> None:
+        """The list changed. The module knows before anything that waits is sent on, or given back to it."""
+        self._take(news)
+        if self.caches is not None:
+            self.caches.listed(list(news.entries))
+
+    def purged(self, purge: api.Purge) -> None:
+        self.stats.count("purge", "object" if purge.object is not None else "group")
+        self._take(purge)
+
+    # --- the turn
+
+    def _take(self, event: api.Event) -> None:
+        self._events.append(event)
+        self._pump()
+
+    def _pump(self) -> None:
+        """Hand events to the module one at a time: what a port calls back meanwhile waits its turn."""
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._act(self.router.handle(self.clock.now(), self._events.popleft()))
+        finally:
+            self._busy = False
+
+    def _act(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.Fetch():
+                    self._send(action.id, action.server, action.limit, action.source, action.age, action.mode,
+                               action.keep)
+                case api.Look():
+                    self._send(action.id, action.server, action.limit, action.server, 0, api.FillMode.PLAIN, 0)
+                case api.Refuse():
+                    self._finish(int(action.id), Answer(Final.REFUSED, come_back=action.come_back))
+                case api.Fail():
+                    self._finish(int(action.id), Answer(Final.FAILED))
+                case api.CancelAttempt():
+                    self._cancel(int(action.id), action.attempt)
+                case api.SetTimer():
+                    self._timer(action.delay, action.token)
+                case api.Log():
+                    self._log(action.text)
+                case _:  # probes, peers and list calls do not exist where the list is pushed
+                    self.stats.count("ignored", type(action).__name__)
+
+    def _timer(self, delay: int, token: str) -> None:
+        self.deadlines.add(self.clock.now() + delay, lambda: self._take(api.TimerDue(token)))
+
+    def _send(self, id: str, server: int, limit: int, source: int, age: int, mode: api.FillMode,
+              keep: int) -> None:
+        handle = int(id)
+        request = self.requests.get(handle)
+        if request is None or self.caches is None:
+            # The answer went out between the module's decision and here: the attempt is not transmitted.
+            self._events.append(api.AttemptEnded(id, 0, server, api.Outcome.UNSENT, closed=True))
+            return
+        now = self.clock.now()
+        attempt = self.attempts.add(Attempt(handle, request.sent, server, now))
+        request.sent += 1
+        request.out.append(attempt)
+        if limit:
+            live = self.attempts.get(attempt)
+            live.timer = self.deadlines.add(now + limit, lambda: self._overdue(attempt))
+        self.stats.count("sent", request.ask.cls)
+        self.caches.send(attempt, Order(request.ask, server, source, limit, age, mode, keep))
+
+    def _overdue(self, attempt: int) -> None:
+        """Its time is over: given up at the server. Where nothing of it was written it cannot have run."""
+        written = self.caches.drop(attempt)
+        self.ended(attempt, Ended(api.Outcome.TIMED_OUT if written else api.Outcome.UNREACHED))
+
+    def _cancel(self, handle: int, number: int) -> None:
+        request = self.requests.get(handle)
+        for attempt in list(request.out) if request is not None else []:
+            if self.attempts.get(attempt).number == number:
+                self._undo(attempt)
+
+    def _undo(self, attempt: int) -> None:
+        written = self.caches.drop(attempt)
+        self.ended(attempt, Ended(api.Outcome.CANCELLED if written else api.Outcome.UNSENT))
+
+    def _undo_all(self, request: Request) -> None:
+        for attempt in list(request.out):
+            self._undo(attempt)
+
+    def _finish(self, handle: int, answer: Answer) -> None:
+        """Give the final answer, once; attempts that still run can serve nobody and are given up."""
+        request = self.requests.free(handle)
+        if request is None:
+            return
+        self.stats.count(answer.final.value, request.ask.cls)
+        request.front.answer(request.ref, answer)
+        self._undo_all(request)
--- /dev/null
+++ b/threadhill/core/ports.py
@@ -0,0 +1,90 @@
+"""The narrow ports between the core and what plugs into it. Nothing here knows a wire."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from threadhill import interface as api
+
+
+class Final(Enum):
+    """The final answer of a request."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What a front has taken from a client."""
+
+    rid: str
+    cls: str
+    object: str
+    left: int  # microseconds that the client still waits
+    part: int = 0
+    group: int | None = None
+    size: float = 0.0
+    repeat: bool = False
+    tenant: str | None = None
+    token: str | None = None  # the idempotency key
+    seen: str | None = None  # the tag of the client's own copy
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a front is given for the client; `same` says that the client's own copy is the one."""
+
+    final: Final
+    body: bytes = b""
+    tag: str = ""
+    same: bool = False
+    come_back: int = 0  # microseconds that a refused client is to stay away
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One attempt, as it is to be sent to one server."""
+
+    ask: Ask
+    server: int
+    source: int  # the server itself: nothing is filled
+    limit: int  # microseconds; 0 until the client gives up
+    age: int = 0  # microseconds; 0 as the class has it
+    mode: api.FillMode = api.FillMode.PLAIN
+    keep: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How an attempt ended."""
+
+    outcome: api.Outcome
+    body: bytes = b""
+    tag: str = ""
+    same: bool = False
+    load: dict[str, float] = field(default_factory=dict)
+
+
+class Front(Protocol):
+    """Takes the one final answer for what it asked under `ref`."""
+
+    def answer(self, ref: int, answer: Answer) -> None: ...
+
+
+class Caches(Protocol):
+    """Carries attempts; tells the core of each one's end, once, unless it was dropped before."""
+
+    def send(self, attempt: int, order: Order) -> None: ...
+
+    def drop(self, attempt: int) -> bool:
+        """Give one up; tells whether any of it had been written, so that it may have run."""
+        ...
+
+    def listed(self, entries: list[api.Entry]) -> None:
+        """The list changed: what waits to be sent to one that is not ready must not go any more."""
+        ...
--- /dev/null
+++ b/threadhill/net/serve.py
@@ -0,0 +1,103 @@
+"""The running proxy: what is plugged into the core, the loop's one timer, and the way out."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+import orjson
+
+from threadhill.config import Config
+from threadhill.core.clock import Clock
+from threadhill.core.deadlines import Deadlines
+from threadhill.core.engine import Engine
+from threadhill.net.journal import Journal
+from threadhill.net.lines import CacheServers
+from threadhill.net.resp import Platform
+from threadhill.stats import Stats
+
+SERVE_ON = 700_000  # microseconds after SIGTERM in which requests still come and are taken
+LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
+
+
+def log(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
+class Proxy:
+    """One steering proxy on the running loop."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock()
+        self.stats = Stats()
+        self._timer: asyncio.TimerHandle | None = None
+        self.deadlines = Deadlines(self._arm)
+        self.engine = Engine(config.settings, config.seed, self.clock, self.deadlines, self.stats, log)
+        self.caches = CacheServers(self.engine, config.limits, log)
+        self.journal = Journal(self.engine, self.caches, log)
+        self.front = Platform(self.engine, frozenset(config.settings.classes), config.clients,
+                              self.loop.call_soon, log)
+        self.done = asyncio.Event()
+        self._leaving = 0  # when SIGTERM came
+
+    def _arm(self, when: int | None) -> None:
+        """One timer stands for the head of all deadlines."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if when is not None:
+            self._timer = self.loop.call_later(max(0, when - self.clock.now()) / 1e6, self._sweep)
+
+    def _sweep(self) -> None:
+        self._timer = None
+        self.deadlines.woken()
+        self.deadlines.sweep(self.clock.now())
+
+    async def run(self) -> None:
+        """Serve until told to stop and all that was taken is answered."""
+        self.engine.start(self.caches)
+        pos, entries = self.config.known
+        for event in entries:
+            self.journal.apply(event)
+        self.journal.pos = max(self.journal.pos, pos)
+        if self.config.journal is not None:
+            self.journal.follow(self.config.journal)
+        host, port = self.config.listen
+        server = await self.loop.create_server(lambda: self.front(), host, port, backlog=512)
+        self.loop.add_signal_handler(signal.SIGTERM, self.leave)
+        self.loop.add_signal_handler(signal.SIGINT, self.leave)
+        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
+        self.front.ready = True
+        log(f"{self.config.name}: serving on {host}:{server.sockets[0].getsockname()[1]}")
+        await self.done.wait()
+        server.close()
+        self.report()
+
+    def leave(self) -> None:
+        """SIGTERM: clients still come for a while, and all that is taken is answered before the end."""
+        if not self._leaving:
+            self._leaving = self.clock.now()
+            self.front.ready = False
+            self._look()
+
+    def _look(self) -> None:
+        now = self.clock.now()
+        owed = self.front.open() or self.front.backlog()
+        if now - self._leaving >= SERVE_ON and not owed:
+            self.done.set()
+        else:
+            self.deadlines.add(now + LOOK_AGAIN, self._look)
+
+    def report(self) -> None:
+        """The counters, one line of JSON."""
+        log(orjson.dumps(self.stats.table()).decode())
+
+
+def serve(config: Config) -> None:
+    async def main() -> None:
+        await Proxy(config).run()
+
+    asyncio.run(main())
