--- /dev/null
+++ b/tests/test_dns.py
@@ -0,0 +1,298 @@
+"""The DNS front by a stand-in resolver of the tests' own: what is named, when, and every error."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests.world import OBJECT, World, until
+
+OPERATOR = """
+[dns]
+listen = "127.0.0.1:0"
+deadline_ms = 400
+nameservers = ["ns1.route.example"]
+
+[[tenants]]
+name = "acme"
+zones = ["route.example"]
+
+[[tenants]]
+name = "small"
+zones = ["small.example"]
+quota = 2
+"""
+A, NS, SOA, HINFO, TXT, AAAA, SRV, OPT, AXFR, ANY = 1, 2, 6, 13, 16, 28, 33, 41, 252, 255
+NOERROR, FORMERR, SERVFAIL, NXDOMAIN, NOTIMP, REFUSED = range(6)
+NAME = f"0.{OBJECT}.art-pages.acme.route.example"
+
+
+def name_of(text: str) -> bytes:
+    return b"".join(bytes([len(label)]) + label.encode() for label in text.split(".") if label) + b"\0"
+
+
+def query(name: str, kind: int = A, id: int = 77, flags: int = 0x0100, cls: int = 1, more: bytes = b"",
+          extra: int = 0) -> bytes:
+    return struct.pack("!6H", id, flags, 1, 0, 0, extra) + name_of(name) + struct.pack("!HH", kind, cls) + more
+
+
+def opt(payload: int = 4096, version: int = 0) -> bytes:
+    return b"\0" + struct.pack("!HHBBHH", OPT, payload, 0, version, 0x8000, 0)
+
+
+@dataclass
+class Reply:
+    """A response, taken apart far enough for the tests."""
+
+    raw: bytes
+    id: int = 0
+    flags: int = 0
+    code: int = 0
+    sections: list[list[tuple[int, int, bytes]]] = field(default_factory=list)  # (type, ttl, data)
+
+    def __post_init__(self) -> None:
+        self.id, self.flags, questions, *counts = struct.unpack_from("!6H", self.raw)
+        self.code, at = self.flags & 15, 12
+        for _ in range(questions):
+            at = self._skip(at) + 4
+        for count in counts:
+            self.sections.append([])
+            for _ in range(count):
+                at = self._skip(at)
+                kind, _, ttl, size = struct.unpack_from("!HHIH", self.raw, at)
+                self.sections[-1].append((kind, ttl, self.raw[at + 10 : at + 10 + size]))
+                at += 10 + size
+        assert at == len(self.raw)
+
+    def _skip(self, at: int) -> int:
+        while self.raw[at] and self.raw[at] < 0xC0:
+            at += self.raw[at] + 1
+        return at + (2 if self.raw[at] else 1)
+
+    @property
+    def addresses(self) -> list[str]:
+        return [socket.inet_ntoa(data) for kind, _, data in self.sections[0] if kind == A]
+
+
+class Resolver(asyncio.DatagramProtocol):
+    """A stand-in resolver over UDP and TCP."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.replies = port, []
+
+    async def start(self) -> Resolver:
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, remote_addr=("127.0.0.1", self.port))
+        return self
+
+    def datagram_received(self, data: bytes, peer: object) -> None:
+        self.replies.append(Reply(data))
+
+    async def send(self, raw: bytes) -> Reply:
+        before = len(self.replies)
+        self.transport.sendto(raw)
+        reply = (await until(lambda: self.replies[before:], "a response"))[0]
+        for section in reply.sections:  # whatever it is, nobody may keep it
+            assert all(ttl == 0 for kind, ttl, _ in section if kind != OPT)
+        return reply
+
+    async def ask(self, name: str = NAME, kind: int = A, **more: object) -> Reply:
+        return await self.send(query(name, kind, **more))
+
+    async def tcp(self, *queries: bytes) -> list[Reply]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(b"".join(struct.pack("!H", len(raw)) + raw for raw in queries))
+        replies = []
+        for _ in queries:
+            replies.append(Reply(await reader.readexactly(struct.unpack("!H", await reader.readexactly(2))[0])))
+        writer.close()
+        return replies
+
+
+def play(folder: Path, scene: Callable[[World, Resolver], Awaitable[None]], operator: str = OPERATOR,
+         **more: object) -> None:
+    async def run() -> None:
+        async with World(folder, operator=operator, **more) as world:
+            await scene(world, await Resolver(await world.listens("dns")).start())
+
+    asyncio.run(run())
+
+
+async def named(resolver: Resolver, count: int = 24, **more: object) -> list[str]:
+    """What so many queries for different objects are answered with; None stands for SERVFAIL."""
+    replies = [await resolver.ask(f"0.{i:016x}.art-pages.acme.route.example", **more) for i in range(count)]
+    assert {reply.code for reply in replies} <= {NOERROR, SERVFAIL}
+    return [reply.addresses[0] if reply.addresses else None for reply in replies]
+
+
+def test_a_name_is_answered_with_one_ready_server_and_no_time_to_live(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        reply = await r.ask("0." + OBJECT.upper() + ".Art-Pages.acme.route.example")
+        assert (reply.id, reply.flags, reply.code) == (77, 0x8500, NOERROR)
+        assert reply.addresses[0] in [box.host for box in w.caches]
+        assert OBJECT.upper().encode() in reply.raw  # the question comes back with its letter case
+        assert set(await named(r)) - {None} == {box.host for box in w.caches}
+        write = await r.ask(f"0.{OBJECT}.license-buy.acme.route.example")
+        assert write.addresses == [w.origin.host]
+        assert not w.asked()  # the proxy itself sent nothing
+
+    play(tmp_path, scene)
+
+
+def test_an_srv_record_carries_port_and_target_which_can_be_looked_up_once(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        reply = await r.ask("_http._tcp." + NAME, SRV)
+        ((kind, _, data),) = reply.sections[0]
+        box = next(b for b in w.caches if name_of(b.name + ".box.route.example") == data[6:])
+        assert (kind, struct.unpack("!3H", data[:6])) == (SRV, (0, 0, box.port))
+        assert [socket.inet_ntoa(data) for kind, _, data in reply.sections[2] if kind == A] == [box.host]
+        assert (await r.ask(f"s-{0xfff:08x}.box.route.example")).code == NXDOMAIN
+        follow = [await r.ask(f"{box.name}.box.route.example") for _ in range(2)]
+        assert follow[1].code == NXDOMAIN  # one look-up for one answer
+        assert follow[0].addresses in ([box.host], [])  # none, if this machine took over 200 ms for it
+
+    play(tmp_path, scene)
+
+
+def test_no_answer_names_a_drained_server_after_250_ms(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        drained = w.caches[0]
+        assert drained.host in await named(r)
+        w.journal.hosts(drained.member("DRAINING"))
+        await w.told()
+        assert drained.host not in await named(r) and w.caches[1].host in await named(r)
+        for reply in await r.tcp(*(query(NAME, kind) for kind in (A, SRV) for _ in range(20))):
+            assert drained.host not in reply.addresses
+            assert drained.name.encode() not in reply.raw
+        assert (await r.ask(f"{drained.name}.box.route.example")).code == NXDOMAIN
+        w.journal.hosts(w.caches[1].member("DELETED"), w.parent.member("DELETED"),
+                        w.origin.member("DELETED"))
+        await w.told()
+        assert (await r.ask()).code == SERVFAIL
+
+    play(tmp_path, scene)
+
+
+def test_a_cold_server_is_not_named_more_than_it_can_take(tmp_path: Path) -> None:
+    """Guards against a box that has just started being named as often as warm ones: its credit is spent."""
+
+    async def scene(w: World, r: Resolver) -> None:
+        client = await w.client()
+        for i in range(60):  # the module learns what warm caches serve
+            await client.get(obj=f"{i:016x}", mem=50)
+        await asyncio.sleep(1.1)  # an interval of its counting
+        warm = (await named(r, 60)).count(w.caches[0].host)
+        w.caches[0].up_since = int(time.time() * 1_000)
+        w.journal.hosts(w.caches[0].member())
+        await w.told()
+        cold = (await named(r, 60)).count(w.caches[0].host)
+        assert warm >= 10 and cold <= warm / 4
+
+    play(tmp_path, scene)
+
+
+def test_after_a_purge_the_origin_is_named(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        w.journal.add({"expire": {"name": OBJECT, "stamp": int(time.time() * 1_000)}})
+        await w.told()
+        assert {(await r.ask()).addresses[0] for _ in range(5)} == {w.origin.host}
+        assert w.origin.host not in await named(r)
+
+    play(tmp_path, scene)
+
+
+def test_after_a_purge_the_answer_is_refused_where_the_origin_may_not_be_named(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        w.journal.add({"expire": {"name": OBJECT, "stamp": int(time.time() * 1_000)}})
+        await w.told()
+        assert (await r.ask()).code == SERVFAIL
+
+    from tests.world import SETTINGS
+    play(tmp_path, scene, settings={"extra": SETTINGS["extra"] | {"bypass-allowed": False}})
+
+
+def test_handing_over_is_no_sign_of_silence(tmp_path: Path) -> None:
+    """Guards against answers that ejected a well cache: nothing ever comes back of what is handed over."""
+
+    async def scene(w: World, r: Resolver) -> None:
+        await named(r, 12)
+        await asyncio.sleep(0.8)  # longer than the silence that ejects
+        assert set(await named(r, 12)) - {None} == {box.host for box in w.caches}
+
+    play(tmp_path, scene)
+
+
+def test_over_quota_is_refused_and_other_tenants_are_not_touched(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        name = f"0.{OBJECT}.art-pages.small.small.example"
+        codes = [(await r.ask(name)).code for _ in range(8)]
+        assert codes[:2] == [NOERROR] * 2 and SERVFAIL in codes
+        assert (await r.ask()).code == NOERROR
+        assert (await r.ask(f"0.{OBJECT}.art-pages.acme.small.example")).code == NXDOMAIN
+        assert (await r.ask(f"0.{OBJECT}.art-pages.small.route.example")).code == NXDOMAIN
+
+    play(tmp_path, scene)
+
+
+CODES = [
+    (query("a.elsewhere.example"), REFUSED),
+    (query("route.example", AXFR), REFUSED),
+    (query(NAME, cls=3), REFUSED),
+    (query(NAME, flags=0x2000), NOTIMP),
+    (query("nobody.route.example"), NXDOMAIN),
+    (query(f"x.{OBJECT}.art-pages.acme.route.example"), NXDOMAIN),
+    (query("0.zz.art-pages.acme.route.example"), NXDOMAIN),
+    (query("acme.route.example"), NOERROR),
+    (query("box.route.example"), NOERROR),
+    (query(NAME, AAAA), NOERROR),
+    (query(NAME, TXT), NOERROR),
+    (query(NAME)[:-3], FORMERR),
+    (query(NAME) + b"x", FORMERR),
+    (query(NAME, more=opt() + opt(), extra=2), FORMERR),
+    (struct.pack("!6H", 77, 0, 1, 0, 0, 0) + b"\xc0\x0c\0\1\0\1", FORMERR),
+    (struct.pack("!6H", 77, 0, 1, 0, 0, 0) + b"\x40a\0\0\1\0\1", FORMERR),
+    (struct.pack("!6H", 77, 0, 0, 0, 0, 0), FORMERR),
+    (struct.pack("!6H", 77, 0, 2, 0, 0, 0) + name_of(NAME) + b"\0\1\0\1", FORMERR),
+]
+
+
+def test_what_names_no_server_gets_its_code(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        for raw, code in CODES:
+            over_udp, (over_tcp,) = await r.send(raw), await r.tcp(raw)
+            assert over_udp.raw == over_tcp.raw, raw
+            assert (over_udp.code, over_udp.id, over_udp.addresses) == (code, 77, []), raw
+            if code in (NOERROR, NXDOMAIN):
+                assert [kind for kind, _, _ in over_udp.sections[1]] == [SOA], raw
+
+    play(tmp_path, scene)
+
+
+def test_zone_data_edns_truncation_and_packets_that_get_no_answer(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        assert [k for k, _, _ in (await r.ask("route.example", SOA)).sections[0]] == [SOA]
+        assert (await r.ask("route.example", NS)).sections[0][0][2] == name_of("ns1.route.example")
+        assert [k for k, _, _ in (await r.ask(NAME, ANY)).sections[0]] == [HINFO]
+        edns = await r.ask(more=opt(), extra=1)
+        assert edns.code == NOERROR and [k for k, _, _ in edns.sections[2]] == [OPT]
+        assert not (await r.ask()).sections[2]
+        bad = await r.ask(more=opt(version=1), extra=1)
+        assert bad.code == 0 and bad.sections[2][0][1] >> 24 == 1 and not bad.addresses  # BADVERS is 16
+        for raw in (b"", b"x", b"\0" * 11, query(NAME, flags=0x8000), b"\xff" * 300):
+            r.transport.sendto(raw)
+        assert (await r.ask(id=78)).id == 78  # none of them was answered, nor did it harm
+        long = ".".join(["a" * 60] * 3)
+        deep = f"0.{OBJECT}.art-pages.deep.{long}"
+        wide = await r.ask("_http._tcp." + deep, SRV)
+        assert not wide.flags & 0x0200 or wide.sections == [[], [], []]
+        assert len(wide.raw) <= 512
+        (full,) = await r.tcp(query("_http._tcp." + deep, SRV))
+        assert len(full.sections[0]) == 1 and len(full.sections[2]) == 1
+
+    zone = ".".join(["a" * 60] * 3)
+    play(tmp_path, scene, OPERATOR + f'[[tenants]]\nname = "deep"\nzones = ["{zone}"]\n')
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,269 @@
+"""The platform's front, the cache servers' lines and the journal, through the running program."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from tests.world import OBJECT, Box, World, until, whole
+
+
+def play(folder: Path, scene: Callable[[World], Awaitable[None]], **more: object) -> None:
+    async def run() -> None:
+        async with World(folder, **more) as world:
+            await scene(world)
+
+    asyncio.run(run())
+
+
+def test_a_read_is_passed_on_unchanged_and_answered_whole(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        client = await w.client()
+        assert await client.status() == "serving"
+        word, fields, body = await client.get("clip-parts", rid="9b1f03aa5c7e2d41", n=3, mem=412.5, mine="4be0")
+        assert (word, fields, body) == ("200", {}, f"{OBJECT}/3".encode())
+        (ask,) = w.asked()
+        assert {k: ask[k] for k in ("id", "profile", "thing", "nth", "rank", "from", "mode", "seen")} == {
+            "id": "9b1f03aa5c7e2d41", "profile": "clip-parts", "thing": OBJECT, "nth": "3", "rank": "1",
+            "from": w.parent.name, "mode": "collapse", "seen": "4be0"}
+        assert 0 < int(ask["max"]) <= 3000 and "oldest" not in ask and "replay" not in ask
+
+    play(tmp_path, scene)
+
+
+def test_a_write_goes_to_the_origin_with_its_body_and_key(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        client = await w.client()
+        assert (await client.get("license-buy", b"x" * 48_000, token="5c0f6e1a"))[0] == "200"
+        (ask,) = w.origin.asked
+        assert (ask["replay"], len(ask["body"]), "rank" in ask, "from" in ask) == ("5c0f6e1a", 48_000, False, False)
+
+    play(tmp_path, scene)
+
+
+def test_a_large_answer_and_many_tags_on_one_connection(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: ("ok", "ver=a,born=1", whole(ask) * 9_000)  # about 170 KB
+        client = await w.client()
+        tags = {client.ask(n=n): n for n in range(32)}
+        for tag, n in tags.items():
+            word, _, body = await client.answer(tag)
+            assert word == "503" or body == f"{OBJECT}/{n}".encode() * 9_000
+        assert sum(client.answers[tag][0] == "200" for tag in tags) >= 8 and not client.twice
+
+    play(tmp_path, scene)
+
+
+def test_the_clients_own_copy_is_confirmed_without_bytes(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: ("current", "ver=4be0,born=1", b"")
+        client = await w.client()
+        assert await client.get(mine="4be0") == ("200", {"still": "1"}, b"")
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("word", ["nothing", "refused", "error", "stale", "novel"])
+def test_a_read_that_fails_everywhere_is_refused_at_once_with_advice(tmp_path: Path, word: str) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: (word, "-", b"")
+        client = await w.client()
+        assert await client.get() == ("503", {"backoff": "500"}, b"")
+        assert len(w.asked()) <= 8
+
+    play(tmp_path, scene)
+
+
+def test_a_reset_is_followed_by_another_attempt(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        def die(box: Box) -> None:
+            box.behave = lambda ask: box.reset()
+
+        die(w.caches[0])
+        client = await w.client()
+        words = [(await client.get(obj=f"{i:016x}"))[0] for i in range(6)]
+        assert words == ["200"] * 6 and w.caches[0].asked  # some went to the dying box first
+
+    play(tmp_path, scene)
+
+
+def test_a_refused_connection_proves_that_nothing_ran(tmp_path: Path) -> None:
+    """Guards against a keyed request that is failed, not sent on, when its server could not be reached."""
+
+    async def scene(w: World) -> None:
+        w.origin.server.close()
+        client = await w.client()
+        word, fields, _ = await client.get("license-buy", b"x", token="aa")
+        assert (word, fields) == ("503", {"backoff": "500"})
+
+    play(tmp_path, scene)
+
+
+def test_a_silent_server_is_given_up_and_the_answer_comes_in_time(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None
+        client = await w.client()
+        began = time.monotonic()
+        assert (await client.get(budget=300))[0] == "503"
+        assert time.monotonic() - began >= 0.25  # not before its time; how late is the machine's affair
+        assert not client.twice
+
+    play(tmp_path, scene)
+
+
+def test_nevermind_undoes_the_attempt_and_is_not_answered(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None
+        client = await w.client()
+        tag = client.ask(rid="00000000000000aa", budget=60_000)
+        await until(w.asked)
+        client.send("NEVERMIND", tag)
+        await until(lambda: any(box.undone for box in w.boxes) or not any(box.writers for box in w.boxes))
+        assert await client.status() == "serving" and tag not in client.answers
+
+    play(tmp_path, scene)
+
+
+def test_a_drained_server_gets_nothing_new_and_its_open_request_is_finished(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        client = await w.client()
+        for i in range(20):
+            await client.get(obj=f"{i:016x}")
+        assert all(box.asked for box in w.caches)
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        w.journal.hosts(w.parent.member("DELETED"))
+        await w.told()
+        before = len(w.caches[0].asked)
+        for i in range(20):
+            assert (await client.get(obj=f"{i:016x}"))[0] == "200"
+        assert len(w.caches[0].asked) == before
+        assert {ask["from"] for ask in w.caches[1].asked[-20:]} == {w.origin.name}
+
+    play(tmp_path, scene)
+
+
+def test_an_address_is_used_again_by_a_new_server(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        gone = w.caches[0].member("DELETED")
+        w.journal.hosts(gone)
+        w.journal.hosts(gone | {"id": "s-0000000a", "phase": "SERVING"})
+        await w.told()
+        client = await w.client()
+        for i in range(20):
+            assert (await client.get(obj=f"{i:016x}"))[0] == "200"
+        assert w.caches[0].asked
+
+    play(tmp_path, scene)
+
+
+def test_a_purge_sets_the_oldest_copy_that_will_do(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        client = await w.client()
+        stamp = int(time.time() * 1_000) - 1_000
+        w.journal.add({"expire": {"name": OBJECT, "stamp": stamp}})
+        w.journal.add({"expire": {"set": 40, "stamp": stamp}})
+        await w.told()
+        await client.get()
+        await client.get(obj="00000000000000ff", shard=40)
+        await client.get(obj="00000000000000ff", shard=41)
+        *purged, other = sorted(w.asked(), key=lambda ask: float(ask["at"]))
+        for ask in purged:  # counted from the sending: nothing made before the purge will do
+            assert 1_000 <= int(ask["oldest"]) <= float(ask["at"]) * 1_000 - stamp + 1
+        assert "oldest" not in other
+
+    play(tmp_path, scene)
+
+
+def test_the_journal_is_taken_up_where_it_broke_and_applied_once(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        await w.told()
+        w.journal.reset()
+        w.journal.hosts(w.caches[0].member())
+        await until(lambda: len(w.journal.tails) > 1)
+        await w.told()
+        assert w.journal.tails[:2] == [1, 2] and w.counted("journal", "events") == 3
+        client = await w.client()
+        for i in range(20):
+            await client.get(obj=f"{i:016x}")
+        assert w.caches[0].asked
+
+    play(tmp_path, scene)
+
+
+def test_sigterm_serves_on_answers_all_and_exits_with_0(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None if ask["nth"] == "1" else Box.serve_it(ask)
+        client = await w.client()
+        late = client.ask(n=1, budget=1_500)
+        await until(w.asked)
+        w.process.send_signal(signal.SIGTERM)
+        assert (await (await w.client()).get())[0] == "200"  # a new connection, after the signal
+        assert (await client.answer(late))[0] in ("503", "200")
+        assert await asyncio.wait_for(w.process.wait(), 20) == 0
+        await w.reading
+        assert '"taken"' in w.log  # the counters, at exit
+
+    play(tmp_path, scene)
+
+
+BAD = [b"GET / HTTP/1.1\r\n\r\n",
+       b"*9\r\n", b"*2\r\n$99999\r\n", b"*1\r\n$3\r\nASKxx", b"*2\r\n$3\r\nASK\r\n$1\r\n0\r\n",
+       b"*2\r\n$4\r\nEVAL\r\n$1\r\n1\r\n", b"*-1\r\n", b"$5\r\nhello\r\n", b"\x00" * 100]
+
+
+def test_bad_bytes_get_an_error_and_a_closed_connection(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for raw in BAD:
+            reader, writer = await asyncio.open_connection("127.0.0.1", w.port)
+            writer.write(raw)
+            assert (await reader.read()).startswith(b"-ERR "), raw
+            writer.close()
+        client = await w.client()
+        for bad in ({"rid": "x"}, {"obj": "zz"}, {"budget": "soon"}, {"n": -1}):
+            assert (await client.get(**bad))[0] == "500"
+        assert (await client.get("no-such-class"))[0] == "500"
+        assert (await client.get())[0] == "200" and len(w.asked()) == 1
+
+    play(tmp_path, scene)
+
+
+def test_a_server_that_talks_nonsense_costs_only_its_connection(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        w.caches[0].behave = lambda ask: ("ok", "two words", b"")
+        client = await w.client()
+        assert [(await client.get(obj=f"{i:016x}"))[0] for i in range(6)] == ["200"] * 6
+        assert w.caches[0].asked
+
+    play(tmp_path, scene)
+
+
+def test_a_client_that_does_not_read_holds_up_only_itself(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: ("ok", "ver=a,born=1", b"x" * 200_000)
+        slow = await w.client()
+        slow.task.cancel()
+        slow.writer.transport.pause_reading()
+        for _ in range(10):
+            for n in range(32):
+                slow.ask(n=n)
+            await asyncio.sleep(0)
+        other = await w.client()
+        while (await other.get(obj="00000000000000aa"))[2] != b"x" * 200_000:
+            await asyncio.sleep(0.05)  # refused while the slow one's requests fill the caches
+        pages = int(Path(f"/proc/{w.process.pid}/statm").read_text().split()[1])
+        assert pages * 4096 < 100 << 20
+
+    play(tmp_path, scene)
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,272 @@
+"""A small world round the real program: it runs as a process, the tests are its clients, caches and journal."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+import re
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE = 20  # seconds that a condition is waited for: far beyond what any machine should need
+OBJECT = "7f3a9c21e0b4d655"
+SETTINGS = {
+    "extra": {"bypass-allowed": True, "class-write": [False, False, True], "client-kb-per-s": 4000.0,
+              "crew-by-zone": [0, 1], "fresh-for": [0, 0, 0], "in-parts": [True, False, False], "master-kind": 2,
+              "notes-given": "none", "parent-fall-multiple": 2.0, "parent-ramp": 20_000_000, "purge-slack": 500_000,
+              "purge-takes": 6_000_000, "shares-fills": True, "sideways": "location", "upper-cold-from": 0.063,
+              "upper-kind": 1},
+    "limits": {"cancel": True, "conn-idle": 30_000_000, "connect-timeout": 400_000, "max-attempts": 8,
+               "max-retry-after": 500_000, "max-streams": 32, "retry-after": True, "second-copies": True},
+    "machine-types": ["standard", "parent", "origin"],
+    "membership-mode": "pushed",
+    "obligations": {"drain-grace": 250_000, "fall": 3_000_000, "fall-multiple": 2.5, "grace-to-answer": 8_000,
+                    "ramp-time": 16_000_000, "start-capacity": 0.16},
+    "profiles": [
+        {"aim-stretch": 1.6, "deadline": 5_000_000, "name": "clip-parts", "objective": 600_000,
+         "repeat": "read_like"},
+        {"aim-stretch": 2.0, "deadline": 3_000_000, "name": "art-pages", "objective": 300_000,
+         "repeat": "read_like"},
+        {"deadline": 3_000_000, "dedup-scope": "all", "name": "license-buy", "objective": 700_000,
+         "repeat": "idempotency_key", "repeat-window": 2_000_000}],
+    "report": {"columns": ["rif", "busy", "x1", "x0"], "via": "answers"},
+    "tick": 2_000, "zone": "edge-1", "zones": ["sierra", "edge-1"],
+}
+
+
+async def until(condition: Callable[[], Any], what: str = "the condition") -> Any:
+    """Wait for a condition; what it gives."""
+    end = time.monotonic() + PATIENCE
+    while not (value := condition()):
+        assert time.monotonic() < end, f"waited in vain for {what}"
+        await asyncio.sleep(0.005)
+    return value
+
+
+class Listener:
+    """A stand-in that listens on a port of its own."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.host, self.port = "127.0.0.1", 0
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.serve, self.host, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            await self.talk(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the proxy closed it, or the test is over
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def reset(self) -> None:
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Box(Listener):
+    """A cache server, parent or origin. `behave` gives word, fields and body of an answer, or None for silence."""
+
+    def __init__(self, name: str, flavor: str = "standard", locality: str = "edge-1") -> None:
+        super().__init__()
+        self.name, self.flavor, self.locality = name, flavor, locality
+        self.up_since = 0
+        self.asked: list[dict[str, str]] = []
+        self.undone: list[str] = []
+        self.behave: Callable[[dict[str, str]], tuple[str, str, bytes] | None] = self.serve_it
+
+    @staticmethod
+    def serve_it(ask: dict[str, str]) -> tuple[str, str, bytes]:
+        return "ok", "ver=v1,born=1764576000000,report=inflight:0;util:0.1;x1:0.1;x0:0.9", whole(ask)
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := (await reader.readline()).decode().split():
+            if line[0] == "undo":
+                self.undone.append(line[1])
+                continue
+            assert line[0] == "do", line
+            body = await reader.readexactly(int(line[3]) + 2)
+            ask = dict(item.split("=", 1) for item in line[2].split(","))
+            ask |= {"id": line[1], "body": body[:-2].decode()}
+            self.asked.append(ask | {"at": str(time.time())})
+            answer = self.behave(ask)
+            if answer is not None:
+                word, fields, body = answer
+                writer.write(f"{line[1]} {word} {fields} {len(body)}\r\n".encode() + body + b"\r\n")
+                await writer.drain()
+
+    def member(self, phase: str = "SERVING") -> dict[str, Any]:
+        return {"id": self.name, "host_port": f"{self.host}:{self.port}", "locality": self.locality, "cell": 1,
+                "flavor": self.flavor, "phase": phase, "size": 1, "up_since_ms": self.up_since}
+
+
+def whole(ask: dict[str, str]) -> bytes:
+    return f"{ask['thing']}/{ask['nth']}".encode()
+
+
+class Journal(Listener):
+    """The journal service; it counts a line a second only when told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events: list[dict[str, Any]] = []
+        self.tails: list[int] = []
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        last = int((await reader.readline()).split()[1])
+        self.tails.append(last)
+        beat = 0.0
+        while not writer.is_closing():
+            for event in [e for e in self.events if e["pos"] > last]:
+                writer.write(json.dumps(event).encode() + b"\n")
+                last = event["pos"]
+            if time.monotonic() > beat + 0.5:
+                beat = time.monotonic()
+                writer.write(b"%d\n" % last)
+            await writer.drain()
+            await asyncio.sleep(0.005)
+
+    def hosts(self, *members: dict[str, Any], complete: bool = False) -> dict[str, Any]:
+        return self.add({"hosts": {"revision": 1, "complete": complete, "members": list(members)}})
+
+    def add(self, event: dict[str, Any]) -> dict[str, Any]:
+        self.events.append({"pos": len(self.events) + 1} | event)
+        return self.events[-1]
+
+
+class Client:
+    """A client of the platform's front."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.tags = itertools.count(1)
+        self.answers: dict[int, tuple[str, dict[str, str], bytes]] = {}
+        self.twice: list[int] = []
+        self.task = asyncio.ensure_future(self._read())
+
+    def send(self, verb: str, tag: int, *words: str | bytes) -> None:
+        parts = [w if isinstance(w, bytes) else w.encode() for w in (verb, str(tag), *words)]
+        raw = b"".join(b"$%d\r\n%s\r\n" % (len(part), part) for part in parts)
+        self.writer.write(b"*%d\r\n" % len(parts) + raw)
+
+    def ask(self, cls: str = "art-pages", body: bytes = b"", **fields: Any) -> int:
+        tag = next(self.tags)
+        fields = {"rid": os.urandom(8).hex(), "budget": 3000, "obj": OBJECT, "n": 0, "shard": 17} | fields
+        self.send("ASK", tag, cls, ",".join(f"{k}={v}" for k, v in fields.items()), body)
+        return tag
+
+    async def answer(self, tag: int) -> tuple[str, dict[str, str], bytes]:
+        return await until(lambda: self.answers.get(tag), f"answer {tag}")
+
+    async def get(self, cls: str = "art-pages", body: bytes = b"",
+                  **fields: Any) -> tuple[str, dict[str, str], bytes]:
+        return await self.answer(self.ask(cls, body, **fields))
+
+    async def status(self) -> str:
+        tag = next(self.tags)
+        self.send("STATUS", tag)
+        return (await self.answer(tag))[0]
+
+    async def _read(self) -> None:
+        while (line := await self.reader.readline()).startswith(b"*"):
+            words = []
+            for _ in range(int(line[1:])):
+                size = int((await self.reader.readline())[1:])
+                words.append((await self.reader.readexactly(size + 2))[:-2])
+            tag = int(words[0])
+            if tag in self.answers:
+                self.twice.append(tag)
+            fields = dict(item.split("=", 1) for item in words[2].decode().split(",") if item)
+            self.answers[tag] = (words[1].decode(), fields, words[3])
+
+
+class World:
+    """Caches, a parent, the origin, the journal, and one proxy process."""
+
+    def __init__(self, folder: Path, caches: int = 2, operator: str = "",
+                 settings: dict[str, Any] | None = None) -> None:
+        self.folder, self.operator = folder, operator
+        self.caches = [Box(f"s-{i:08x}") for i in range(1, caches + 1)]
+        self.parent, self.origin = Box("s-000000b1", "parent", "sierra"), Box("s-000000c1", "origin", "sierra")
+        self.boxes = [*self.caches, self.parent, self.origin]
+        for i, box in enumerate(self.boxes, 1):
+            box.host = f"127.0.9.{i}"
+        self.journal = Journal()
+        self.settings = SETTINGS | (settings or {})
+        self.log = ""
+        self.clients: list[Client] = []
+
+    async def __aenter__(self) -> World:
+        for listener in [*self.boxes, self.journal]:
+            await listener.start()
+        self.journal.hosts(*(box.member() for box in self.boxes), complete=True)
+        config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": self.settings,
+                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                  "journal": f"127.0.0.1:{self.journal.port}",
+                  "known": {"pos": 1, "entries": [self.journal.events[0]]}}
+        (self.folder / "config.json").write_text(json.dumps(config))
+        words = [sys.executable, "-m", "threadhill", "serve"]
+        if self.operator:
+            (self.folder / "operator.toml").write_text(self.operator)
+            words += ["--operator", str(self.folder / "operator.toml")]
+        self.process = await asyncio.create_subprocess_exec(
+            *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"LB_CONFIG": str(self.folder / "config.json"), "TOKEN": "t" * 20})
+        self.reading = asyncio.ensure_future(self._read_log())
+        self.port = await self.listens("n0")
+        await until(lambda: self.journal.tails, "the journal's reader")
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        for client in self.clients:
+            client.task.cancel()
+            client.writer.close()
+        for listener in [*self.boxes, self.journal]:
+            listener.server.close()
+            listener.reset()
+
+    async def _read_log(self) -> None:
+        while line := await self.process.stderr.readline():
+            self.log += line.decode()
+
+    async def listens(self, name: str) -> int:
+        found = await until(lambda: re.search(rf"^{name}: serving on .*:(\d+)$", self.log, re.M), f"{name} to serve")
+        return int(found[1])
+
+    async def client(self) -> Client:
+        client = Client(*await asyncio.open_connection("127.0.0.1", self.port))
+        self.clients.append(client)
+        return client
+
+    def asked(self) -> list[dict[str, str]]:
+        return [ask for box in self.boxes for ask in box.asked]
+
+    async def told(self) -> None:
+        """Wait until the proxy has applied all events, as its counters say."""
+        end = len(self.journal.events)
+        await until(lambda: self.journal.events and self.counted("journal", "events") >= end, "the journal's events")
+
+    def counted(self, name: str, label: str) -> int:
+        """A counter; each look asks for a fresh report, which the next look reads."""
+        self.process.send_signal(signal.SIGUSR1)
+        reports = [line for line in self.log.splitlines() if line.startswith("{")]
+        return json.loads(reports[-1]).get(name, {}).get(label, 0) if reports else 0
--- /dev/null
+++ b/threadhill/admin/api.py
@@ -0,0 +1,105 @@
+"""The administration API, version 1: what can be asked of the tenants and the counters.
+
+    GET    /v1/state            the state's version and all tenants
+    POST   /v1/apply            {"version": N, "tenants": [...]}: make these all the tenants, if still at N
+    GET    /v1/tenants          the tenants
+    GET    /v1/tenants/NAME     one of them
+    PUT    /v1/tenants/NAME     make or replace one; If-Match holds the state version it was planned on
+    DELETE /v1/tenants/NAME     remove one
+    GET    /v1/stats            the counters
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from threadhill.admin.document import Invalid, difference, read_tenant, read_tenants, write_tenant
+from threadhill.admin.http import Call, Problem
+from threadhill.core.tenants import Conflict, Tenant, Tenants
+from threadhill.stats import Stats
+
+
+class Api:
+    """Answers calls. Each one checks all that it is given before it changes anything."""
+
+    def __init__(self, tenants: Tenants, stats: Stats, changed: Callable[[], None]) -> None:
+        self.tenants, self.stats, self._changed = tenants, stats, changed
+
+    def __call__(self, call: Call) -> tuple[int, Any]:
+        self.stats.count("admin", call.method)
+        path = call.path.partition("?")[0].strip("/").split("/")
+        if path[0] != "v1":
+            raise Problem(404, "not-found", "paths begin with /v1")
+        routes = {("state",): {"GET": self._state}, ("stats",): {"GET": self._stats},
+                  ("apply",): {"POST": self._apply}, ("tenants",): {"GET": self._list}}
+        if len(path) == 3 and path[1] == "tenants":
+            methods = {"GET": self._get, "PUT": self._put, "DELETE": self._delete}
+        else:
+            methods = routes.get(tuple(path[1:]), {})
+        if not methods:
+            raise Problem(404, "not-found", f"nothing at {call.path}")
+        if call.method not in methods:
+            raise Problem(405, "method-not-allowed", f"{call.method} is not for {call.path}", ", ".join(methods))
+        try:
+            return methods[call.method](call, *path[2:])
+        except Invalid as error:
+            raise Problem(422, "invalid", str(error), faults=error.faults) from None
+        except Conflict as error:
+            raise Problem(409, "conflict", str(error), version=self.tenants.version) from None
+
+    def _all(self) -> list[Tenant]:
+        return [tenant for _, tenant in sorted(self.tenants.by_name.items())]
+
+    def _state(self, call: Call) -> tuple[int, Any]:
+        return 200, {"version": self.tenants.version, "tenants": [write_tenant(t) for t in self._all()]}
+
+    def _stats(self, call: Call) -> tuple[int, Any]:
+        return 200, self.stats.table()
+
+    def _list(self, call: Call) -> tuple[int, Any]:
+        return 200, {"tenants": [write_tenant(t) for t in self._all()]}
+
+    def _get(self, call: Call, name: str) -> tuple[int, Any]:
+        return 200, write_tenant(self._known(name))
+
+    def _known(self, name: str) -> Tenant:
+        tenant = self.tenants.by_name.get(name)
+        if tenant is None:
+            raise Problem(404, "no-such-tenant", f"there is no tenant {name!r}")
+        return tenant
+
+    def _apply(self, call: Call) -> tuple[int, Any]:
+        raw = call.json()
+        if not isinstance(raw, dict) or type(raw.get("version")) is not int:
+            raise Problem(422, "invalid", "version: must be the state version that was planned on",
+                          faults=[{"at": "version", "fault": "must be a whole number"}])
+        tenants = read_tenants(raw.get("tenants"))
+        steps = difference(self._all(), tenants)
+        # What is so already is no conflict: an apply whose answer was lost may simply be sent again.
+        self._replace(tenants, raw["version"] if steps else None)
+        return 200, {"version": self.tenants.version, "steps": steps}
+
+    def _put(self, call: Call, name: str) -> tuple[int, Any]:
+        tenant = read_tenant(call.json(), "tenant", name)
+        made = name not in self.tenants.by_name
+        self._replace([*(t for t in self._all() if t.name != name), tenant], self._planned_on(call))
+        return 201 if made else 200, {"version": self.tenants.version, "tenant": write_tenant(tenant)}
+
+    def _delete(self, call: Call, name: str) -> tuple[int, Any]:
+        self._known(name)
+        self._replace([t for t in self._all() if t.name != name], self._planned_on(call))
+        return 200, {"version": self.tenants.version}
+
+    @staticmethod
+    def _planned_on(call: Call) -> int | None:
+        text = call.headers.get("if-match", "").strip('"')
+        if text in ("", "*"):
+            return None
+        if not text.isascii() or not text.isdigit():
+            raise Problem(400, "bad-request", "If-Match holds a state version")
+        return int(text)
+
+    def _replace(self, tenants: list[Tenant], on: int | None) -> None:
+        if self.tenants.replace(tenants, on):
+            self._changed()
--- /dev/null
+++ b/threadhill/admin/document.py
@@ -0,0 +1,95 @@
+"""Tenants as documents: read with every fault told, written out, and compared."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+from threadhill.core.tenants import Tenant
+from threadhill.dns.message import labels_of
+from threadhill.dns.names import BOXES
+
+NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")  # it stands as a label in DNS names
+MOST_TENANTS = 10_000
+MOST_ZONES = 64
+MOST_QUOTA = 1e6
+
+
+class Invalid(Exception):
+    """A document that can't be used; all its faults, each with where it is."""
+
+    def __init__(self, faults: list[dict[str, str]]) -> None:
+        super().__init__("; ".join(f"{fault['at']}: {fault['fault']}" for fault in faults))
+        self.faults = faults
+
+
+def read_tenant(raw: Any, at: str, name: str | None = None) -> Tenant:
+    """One tenant. Where its name is given from outside, the document may leave it out."""
+    faults: list[dict[str, str]] = []
+
+    def fault(where: str, text: str) -> None:
+        faults.append({"at": f"{at}{where}", "fault": text})
+
+    if not isinstance(raw, dict):
+        raise Invalid([{"at": at, "fault": "must be an object"}])
+    for key in sorted(set(raw) - {"name", "zones", "quota"}):
+        fault(f".{key}", "no such key")
+    told = raw.get("name", name)
+    if not isinstance(told, str) or not NAME.fullmatch(told):
+        fault(".name", "must be a DNS label: lower case letters, digits and hyphens")
+    elif told == BOXES:
+        fault(".name", "is reserved")
+    elif name is not None and told != name:
+        fault(".name", f"must be {name!r}, as in the path")
+    zones = raw.get("zones", [])
+    if not isinstance(zones, list) or len(zones) > MOST_ZONES:
+        fault(".zones", f"must be a list of {MOST_ZONES} at most")
+        zones = []
+    clean = set()
+    for i, zone in enumerate(zones):
+        try:
+            clean.add(".".join(labels_of(zone)))
+        except (ValueError, AttributeError):
+            fault(f".zones[{i}]", "must be a domain name")
+    quota = raw.get("quota", 0)
+    if isinstance(quota, bool) or not isinstance(quota, int | float) or not 0 <= quota <= MOST_QUOTA:
+        fault(".quota", f"must be a number from 0, no limit, to {MOST_QUOTA:.0f} requests a second")
+    if faults:
+        raise Invalid(faults)
+    return Tenant(told, tuple(sorted(clean)), float(quota))
+
+
+def read_tenants(raw: Any, at: str = "tenants") -> list[Tenant]:
+    """All tenants of a document, checked as a whole before any is used."""
+    if not isinstance(raw, list) or len(raw) > MOST_TENANTS:
+        raise Invalid([{"at": at, "fault": f"must be a list of {MOST_TENANTS} at most"}])
+    tenants: dict[str, Tenant] = {}
+    faults: list[dict[str, str]] = []
+    for i, item in enumerate(raw):
+        try:
+            tenant = read_tenant(item, f"{at}[{i}]")
+        except Invalid as error:
+            faults += error.faults
+            continue
+        if tenant.name in tenants:
+            faults.append({"at": f"{at}[{i}].name", "fault": f"{tenant.name!r} stands twice"})
+        tenants[tenant.name] = tenant
+    if faults:
+        raise Invalid(faults)
+    return [tenants[name] for name in sorted(tenants)]
+
+
+def write_tenant(tenant: Tenant) -> dict[str, Any]:
+    return {"name": tenant.name, "zones": list(tenant.zones), "quota": tenant.quota}
+
+
+def difference(old: list[Tenant], new: list[Tenant]) -> list[dict[str, Any]]:
+    """What to do to get from one state to the other, by name: add, remove or change, with both sides."""
+    before, after = ({t.name: write_tenant(t) for t in tenants} for tenants in (old, new))
+    steps = []
+    for name in sorted(set(before) | set(after)):
+        was, will = before.get(name), after.get(name)
+        if was != will:
+            step = "add" if was is None else "remove" if will is None else "change"
+            steps.append({"step": step, "name": name, "from": was, "to": will})
+    return steps
--- /dev/null
+++ b/threadhill/admin/http.py
@@ -0,0 +1,161 @@
+"""HTTP/1.1 as far as the administration API needs it: whole requests with a length, JSON both ways."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from threadhill.core.deadlines import Deadlines
+from threadhill.net.stream import Stream
+
+HEAD = 8 << 10  # bytes of a request's line and headers at most
+BODY = 1 << 20
+IDLE = 10_000_000  # microseconds in which a whole request must come
+REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found",
+           405: "Method Not Allowed", 409: "Conflict", 411: "Length Required", 413: "Content Too Large",
+           422: "Unprocessable Content", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+           501: "Not Implemented", 505: "HTTP Version Not Supported"}
+
+
+class Problem(Exception):
+    """An answer that is an error: `{"error":{"code":…,"message":…}}` and whatever else helps."""
+
+    def __init__(self, status: int, code: str, message: str, allow: str = "", **more: Any) -> None:
+        super().__init__(message)
+        self.status, self.allow = status, allow
+        self.body = {"error": {"code": code, "message": message, **more}}
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request, whole."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        try:
+            return orjson.loads(self.body)
+        except ValueError as error:
+            raise Problem(400, "not-json", f"the body is not JSON: {error}") from None
+
+
+Handler = Callable[[Call], tuple[int, Any]]
+
+
+def read_head(raw: bytes) -> tuple[str, str, dict[str, str]]:
+    """Method, path and headers, their names in lower case."""
+    lines = raw.decode("latin-1").split("\r\n")
+    words = lines[0].split(" ")
+    if len(words) != 3 or not words[0].isalpha() or not words[1].startswith("/"):
+        raise Problem(400, "bad-request", "not a request line")
+    if words[2] not in ("HTTP/1.0", "HTTP/1.1"):
+        raise Problem(505, "bad-version", "HTTP/1.0 or HTTP/1.1 only")
+    headers: dict[str, str] = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        if not colon or not name or name != name.strip():
+            raise Problem(400, "bad-request", "not a header line")
+        if name.lower() in headers and name.lower() in ("content-length", "authorization", "host"):
+            raise Problem(400, "bad-request", f"{name} stands twice")
+        headers[name.lower()] = value.strip()
+    return words[0], words[1], headers
+
+
+class HttpConnection(Stream):
+    """One connection; requests follow each other, a pipelined one waits its turn."""
+
+    def __init__(self, token: str, handler: Handler, deadlines: Deadlines, now: Callable[[], int]) -> None:
+        super().__init__(HEAD + BODY, 4 << 20)
+        self._token, self._handler, self._deadlines, self._now = token, handler, deadlines, now
+        self._head: tuple[str, str, dict[str, str]] | None = None
+        self._length = 0
+        self._timer: tuple[int, int] | None = None
+
+    def opened(self) -> None:
+        self._wait()
+
+    def ended(self) -> None:
+        self._deadlines.drop(self._timer)
+
+    def _wait(self) -> None:
+        self._deadlines.drop(self._timer)
+        self._timer = self._deadlines.add(self._now() + IDLE, self.abort)
+
+    def parse(self) -> None:
+        try:
+            while not self._closing and not self.slow and self._next():
+                self._wait()
+        except Problem as problem:  # how far the faulty request reaches is not known: nothing after it is read
+            self._send(problem.status, problem.body, keep=False)
+
+    def backlog_changed(self) -> None:
+        if self.transport is not None and not self.slow and len(self.inbound):
+            self.parse()
+
+    def _next(self) -> bool:
+        """Answer one request if it is whole."""
+        if self._head is None:
+            raw = self.inbound.peek(HEAD)
+            end = raw.find(b"\r\n\r\n")
+            if end < 0:
+                if len(raw) >= HEAD:
+                    raise Problem(431, "head-too-large", f"the head has over {HEAD} bytes")
+                return False
+            self._head = read_head(raw[:end])
+            self._length = self._body_length(self._head[2])
+            self.inbound.skip(end + 4)
+            if self._head[2].get("expect", "").lower() == "100-continue":
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.wanted = max(1, self._length)
+        if len(self.inbound) < self._length:
+            return False
+        method, path, headers = self._head
+        self._head, self.wanted = None, 1
+        call = Call(method, path, headers, self.inbound.take(self._length))
+        keep = headers.get("connection", "").lower() != "close"
+        allow = ""
+        try:
+            self._authorize(headers)
+            status, body = self._handler(call)
+        except Problem as problem:
+            status, body, allow = problem.status, problem.body, problem.allow
+        self._send(status, body, keep, allow)
+        return True
+
+    @staticmethod
+    def _body_length(headers: dict[str, str]) -> int:
+        if "transfer-encoding" in headers:
+            raise Problem(501, "no-transfer-encoding", "send the body with a Content-Length")
+        text = headers.get("content-length", "0")
+        if not text.isascii() or not text.isdigit():
+            raise Problem(400, "bad-request", "Content-Length is not a number")
+        if len(text) > 9 or int(text) > BODY:
+            raise Problem(413, "body-too-large", f"the body has over {BODY} bytes")
+        return int(text)
+
+    def _authorize(self, headers: dict[str, str]) -> None:
+        scheme, _, token = headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not hmac.compare_digest(token.strip().encode(), self._token.encode()):
+            raise Problem(401, "unauthorized", "a valid bearer token is needed")
+
+    def _send(self, status: int, body: Any, keep: bool, allow: str = "") -> None:
+        raw = b"" if status == 204 else orjson.dumps(body)
+        lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(raw)}"]
+        if raw:
+            lines.append("Content-Type: application/json")
+        if status == 401:
+            lines.append('WWW-Authenticate: Bearer realm="threadhill"')
+        if allow:
+            lines.append(f"Allow: {allow}")
+        if not keep:
+            lines.append("Connection: close")
+        self.write("\r\n".join(lines).encode() + b"\r\n\r\n", raw)
+        if not keep:
+            self.close()
--- a/threadhill/choice.py
+++ b/threadhill/choice.py
@@ -51,6 +51,7 @@
 ANSWER_EARLY = 2_000  # microseconds before its deadline at which an open request is failed
 COME_BACK = SECOND // 2  # microseconds that a refused client is asked to stay away
 FILLS = (Note.FILLED, Note.FROM_ORIGIN, Note.JOINED)  # notes of answers whose source was asked
+UNHEARD = (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.UNSENT, Outcome.HANDED_OVER)  # the server said nothing
 ASK_AGAIN = 2 * SECOND  # microseconds before a failed call to the list is made again
 
 
@@ -186,6 +187,9 @@
         """One of the first k of the object's order that are fit and have room; None if none may be asked."""
         ready = [s for s in self.fleet.in_order(job.ask.object, self.fleet.caches) if self.in_scope(job, s)]
         fit, source = self.fit(ready, job.work), self.source(job)
+        if job.ask.hand_over:  # nothing comes back of it, so it is no trial of one that was ejected
+            fit = [s for s in fit if not s.ejections]
+            source = source if source is None or not source.ejections else None
         draw = self.random.random()
         if not fit and self.set.direct and source is not None and source.open < source.room:
             may = self.in_scope(job, source) and draw < self.in_time_chance(job, source)
@@ -235,10 +239,30 @@
         if not job.write:
             self.usual_send.add(job.send, SLOW_MEMORY)
             self.count(ask, cls.parts, self.fleet.caches)
+        if ask.hand_over:
+            self.hand_over(job)
+            return
         self.retries = min(self.burst, self.retries + RETRY_SHARE)
         self.actions.append(api.SetTimer(max(0, ask.left - ANSWER_EARLY), ask.id))
         self.attempt(job)
 
+    def hand_over(self, job: Job) -> None:
+        """Guard 10: a client that goes there itself spends credit and room like an attempt, but is no sign of
+        health either way. It can't be told an age: after a purge only the origin is sure to give a new copy."""
+        way = self.route_read(job) if not (job.write or self.age(job)) else None
+        origin = self.fleet.origin
+        if way is None and (job.write or self.age(job)) and self.set.direct and origin is not None:
+            way = (origin, origin)
+        if way is None:
+            self.finish(job)
+            return
+        server, source = way
+        for one in [server] if source is server else [server, source]:
+            one.credit -= job.work
+        server.open += 1
+        del self.jobs[job.ask.id]
+        self.actions.append(api.HandOver(job.ask.id, server.entry.server, int(job.send)))
+
     def attempt(self, job: Job) -> None:
         """Send the request on, or end it where nothing may be asked."""
         way = self.route_write(job) if job.write else self.route_read(job)
@@ -288,7 +312,7 @@
                 self.link += weight * (end.load["link"] - self.link)
                 self.link_heard = self.now
             server.open = max(0, server.open - 1)
-            if end.outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.UNSENT):
+            if end.outcome not in UNHEARD:
                 server.unheard = 0
         if job is None or not job.tried:
             return
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -15,6 +15,7 @@
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.ports import Answer, Ask, Caches, Ended, Final, Front, Order
 from threadhill.core.slots import Slots
+from threadhill.core.tenants import Tenants
 from threadhill.stats import Stats
 
 
@@ -47,6 +48,7 @@
                  log: Callable[[str], None]) -> None:
         self.router = Router(settings, seed)
         self.clock, self.deadlines, self.stats, self._log = clock, deadlines, stats, log
+        self.tenants = Tenants()
         self.requests: Slots[Request] = Slots()
         self.attempts: Slots[Attempt] = Slots()
         self.caches: Caches | None = None
@@ -64,8 +66,13 @@
         self.deadlines.sweep(self.clock.now())
         handle = self.requests.add(Request(front, ref, ask))
         self.stats.count("taken", ask.cls)
+        wait = self.tenants.wait(ask.tenant, self.clock.now())
+        if wait:  # over its tenant's quota: nothing of it reaches the module, or what others are given
+            self.stats.count("over_quota", ask.tenant or "")
+            self._finish(handle, Answer(Final.REFUSED, come_back=wait))
+            return handle
         self._take(api.Request(str(handle), ask.cls, ask.object, ask.left, ask.size, ask.group, ask.part,
-                               ask.repeat, tenant=ask.tenant))
+                               ask.repeat, tenant=ask.tenant, hand_over=ask.hand_over))
         return handle
 
     def gone(self, handle: int) -> None:
@@ -133,6 +140,8 @@
                                action.keep)
                 case api.Look():
                     self._send(action.id, action.server, action.limit, action.server, 0, api.FillMode.PLAIN, 0)
+                case api.HandOver():
+                    self._hand_over(int(action.id), action.server, action.hold)
                 case api.Refuse():
                     self._finish(int(action.id), Answer(Final.REFUSED, come_back=action.come_back))
                 case api.Fail():
@@ -167,6 +176,17 @@
         self.stats.count("sent", request.ask.cls)
         self.caches.send(attempt, Order(request.ask, server, source, limit, age, mode, keep))
 
+    def _hand_over(self, handle: int, server: int, hold: int) -> None:
+        """Tell the front the server, and the module, once the client should be done there, that it was told."""
+        now = self.clock.now()
+        request = self.requests.get(handle)
+        if request is None:
+            return
+        attempt = self.attempts.add(Attempt(handle, request.sent, server, now))
+        due = now + max(1, hold)
+        self.deadlines.add(due, lambda: self.ended(attempt, Ended(api.Outcome.HANDED_OVER)))
+        self._finish(handle, Answer(Final.SERVED, server=server))
+
     def _overdue(self, attempt: int) -> None:
         """Its time is over: given up at the server. Where nothing of it was written it cannot have run."""
         written = self.caches.drop(attempt)
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -33,6 +33,7 @@
     token: str | None = None  # the idempotency key
     seen: str | None = None  # the tag of the client's own copy
     body: bytes = b""
+    hand_over: bool = False  # the client is to be told a server, and goes there itself
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +45,7 @@
     tag: str = ""
     same: bool = False
     come_back: int = 0  # microseconds that a refused client is to stay away
+    server: int = -1  # of a request that is handed over: the server to go to
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/threadhill/core/tenants.py
@@ -0,0 +1,71 @@
+"""The tenants of a hosted proxy: their names, zones and quotas, as one numbered state."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SECOND = 1_000_000
+BURST = 1.0  # seconds of a tenant's quota that it may use at once
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One tenant; a quota of 0 is no limit."""
+
+    name: str
+    zones: tuple[str, ...] = ()
+    quota: float = 0.0  # requests a second, all fronts together
+
+
+class Conflict(Exception):
+    """The state is not at the version that a change was planned on."""
+
+
+@dataclass(slots=True)
+class Bucket:
+    """A token bucket: what one tenant may still ask for. Nobody else's requests touch it."""
+
+    tokens: float
+    at: int
+
+    def take(self, now: int, rate: float) -> int:
+        """Take one token; 0, or the microseconds until there will be one."""
+        most = max(1.0, rate * BURST)
+        self.tokens = min(most, self.tokens + rate * max(0, now - self.at) / SECOND)
+        self.at = now
+        if self.tokens >= 1:
+            self.tokens -= 1
+            return 0
+        return int((1 - self.tokens) / rate * SECOND) + 1
+
+
+class Tenants:
+    """All tenants, replaced as a whole; every change of any of them makes a new version."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.by_name: dict[str, Tenant] = {}
+        self._buckets: dict[str, Bucket] = {}
+
+    def zones(self) -> set[str]:
+        return {zone for tenant in self.by_name.values() for zone in tenant.zones}
+
+    def replace(self, tenants: list[Tenant], on: int | None = None) -> bool:
+        """Make these the tenants, if the state is still at version `on`; tells whether anything changed."""
+        if on is not None and on != self.version:
+            raise Conflict(f"the state is at version {self.version}, the change was planned on {on}")
+        new = {tenant.name: tenant for tenant in tenants}
+        if new == self.by_name:
+            return False
+        kept = {n for n, t in new.items() if n in self.by_name and self.by_name[n].quota == t.quota}
+        self._buckets = {name: bucket for name, bucket in self._buckets.items() if name in kept}
+        self.by_name, self.version = new, self.version + 1
+        return True
+
+    def wait(self, name: str | None, now: int) -> int:
+        """0 where a request of this tenant is within its quota, else how long until one would be."""
+        tenant = self.by_name.get(name) if name is not None else None
+        if tenant is None or not tenant.quota:
+            return 0
+        bucket = self._buckets.setdefault(tenant.name, Bucket(max(1.0, tenant.quota * BURST), now))
+        return bucket.take(now, tenant.quota)
--- /dev/null
+++ b/threadhill/dns/names.py
@@ -0,0 +1,73 @@
+"""What a name under a zone asks for: part, object, class and tenant, read from left to right."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from threadhill.core.tenants import Tenants
+from threadhill.dns.message import labels_of
+
+BOXES = "box"  # the label above servers' own names, so no tenant's name
+HEX = set("0123456789abcdef")
+MOST_PART = 10  # digits
+
+
+class Kind(Enum):
+    """What stands at a name of a zone."""
+
+    APEX = "apex"
+    EMPTY = "empty"  # nothing, but names below it exist: NODATA and not NXDOMAIN (RFC 8020)
+    TARGET = "target"
+    SERVICE = "service"  # a target behind _service._tcp
+    BOX = "box"
+    NONE = "none"
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A name within a zone."""
+
+    kind: Kind
+    zone: str
+    tenant: str = ""
+    cls: str = ""
+    object: str = ""
+    part: int = 0
+    box: str = ""
+
+
+def zone_of(labels: tuple[str, ...], zones: set[str]) -> str | None:
+    """The longest of the zones that the name is in."""
+    for i in range(len(labels)):
+        zone = ".".join(labels[i:])
+        if zone in zones:
+            return zone
+    return None
+
+
+def place(labels: tuple[str, ...], zone: str, tenants: Tenants, classes: frozenset[str]) -> Place:
+    """What stands there. A tenant's names exist only in its own zones: others see nothing of it."""
+    left = labels[: len(labels) - len(labels_of(zone))]
+    if not left:
+        return Place(Kind.APEX, zone)
+    none = Place(Kind.NONE, zone)
+    if left[-1] == BOXES:
+        if len(left) > 2:
+            return none
+        return Place(Kind.BOX, zone, box=left[0]) if len(left) == 2 else Place(Kind.EMPTY, zone)
+    tenant = tenants.by_name.get(left[-1])
+    checks = (  # from the zone outwards
+        lambda _: tenant is not None and zone in tenant.zones,
+        lambda cls: cls in classes,
+        lambda obj: len(obj) == 16 and not set(obj) - HEX,
+        lambda part: part.isascii() and part.isdigit() and len(part) <= MOST_PART,
+        lambda protocol: protocol == "_tcp",
+        lambda service: service.startswith("_") and len(service) > 1,
+    )
+    if len(left) > len(checks) or not all(check(label) for check, label in zip(checks, reversed(left), strict=False)):
+        return none
+    if len(left) in (1, 2, 3, 5):
+        return Place(Kind.EMPTY, zone)
+    part, obj, cls, name = left[-4:]
+    return Place(Kind.TARGET if len(left) == 4 else Kind.SERVICE, zone, name, cls, obj, int(part))
--- /dev/null
+++ b/threadhill/dns/transport.py
@@ -0,0 +1,124 @@
+"""The DNS front on sockets: UDP datagrams, and TCP messages behind their length (RFC 7766)."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from typing import Any
+
+from threadhill.dns.front import DnsFront
+from threadhill.net.stream import Stream
+
+MOST = 4 << 10  # bytes of a query at most: names and an OPT are far smaller
+OUTBOUND = 64 << 10
+IDLE = 10_000_000  # microseconds without a query after which a connection is closed
+OPEN = 64  # queries of one connection under way
+
+
+class Udp(asyncio.DatagramProtocol):
+    """All queries over UDP."""
+
+    def __init__(self, front: DnsFront) -> None:
+        self.front = front
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, peer: Any) -> None:
+        self.front.take(data, lambda response: self.transport.sendto(response, peer), stream=False)
+
+    def error_received(self, error: Exception) -> None:
+        """A resolver that is no longer there: it asks again or does not."""
+        self.front.engine.stats.count("dns", "unreachable")
+
+
+class Tcp(Stream):
+    """One connection; queries may follow each other without waiting, answers come as they are ready."""
+
+    def __init__(self, front: DnsFront, connections: set[Tcp]) -> None:
+        super().__init__(MOST + 2, OUTBOUND)
+        self.front, self.connections = front, connections
+        self.open: set[int] = set()
+        self._last = 0
+        self._idle: tuple[int, int] | None = None
+
+    def opened(self) -> None:
+        if len(self.connections) >= self.front.config.connections:
+            self.abort()
+            return
+        self.connections.add(self)
+        self._last = self.front.engine.clock.now()
+        self._watch()
+
+    def ended(self) -> None:
+        self.connections.discard(self)
+        self.front.engine.deadlines.drop(self._idle)
+        for ref in self.open:
+            self.front.forget(ref)
+        self.open.clear()
+
+    def _watch(self) -> None:
+        """Close what has asked nothing for long, a length without its message included."""
+        if self.front.engine.clock.now() - self._last >= IDLE and not self.open:
+            self.abort()
+        else:
+            self._idle = self.front.engine.deadlines.add(self._last + IDLE, self._watch)
+
+    def parse(self) -> None:
+        while not self._closing and not self.slow and len(self.open) < OPEN and len(self.inbound) >= 2:
+            size = struct.unpack("!H", self.inbound.peek(2))[0]
+            if size > MOST or size < 12:
+                self.front.engine.stats.count("malformed", "dns")
+                self.abort()
+                return
+            if len(self.inbound) < size + 2:
+                return
+            self._last = self.front.engine.clock.now()
+            self._take(self.inbound.take(size + 2)[2:])
+
+    def _take(self, raw: bytes) -> None:
+        refs: list[int] = []
+
+        def reply(response: bytes) -> None:
+            self.open.difference_update(refs)
+            if self.transport is not None and not self.write(struct.pack("!H", len(response)), response):
+                self.abort()
+
+        ref = self.front.take(raw, reply, stream=True)
+        if ref is not None:
+            refs.append(ref)
+            self.open.add(ref)
+
+    def backlog_changed(self) -> None:
+        if self.transport is None or self._closing:
+            return
+        if self.slow:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+            self.parse()
+
+
+class DnsServer:
+    """Both transports on one address."""
+
+    def __init__(self, front: DnsFront) -> None:
+        self.front = front
+        self.connections: set[Tcp] = set()
+
+    async def listen(self) -> str:
+        """Listen; where the port is 0, TCP takes the one that UDP was given."""
+        loop = asyncio.get_running_loop()
+        host, port = self.front.config.listen
+        for left in reversed(range(1 if port else 20)):
+            udp, _ = await loop.create_datagram_endpoint(lambda: Udp(self.front), local_addr=(host, port))
+            given = udp.get_extra_info("sockname")[1]
+            try:
+                await loop.create_server(lambda: Tcp(self.front, self.connections), host, given)
+                break
+            except OSError:  # a port that is free for UDP may be in use for TCP: another is asked for
+                udp.close()
+                if not left:
+                    raise
+        return f"{host}:{given}"
--- a/threadhill/interface.py
+++ b/threadhill/interface.py
@@ -55,6 +55,7 @@
     CANCELLED = "cancelled"
     UNSENT = "unsent"
     MISS = "miss"
+    HANDED_OVER = "handed over"  # the client was told the server; how it went there is never known
 
 
 NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHED, Outcome.UNSENT, Outcome.MISS})
@@ -224,6 +225,7 @@
     repeat: bool = False
     write: bool = False
     tenant: str | None = None
+    hand_over: bool = False  # the client goes to the server itself: it is told one, at once, or refused
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,6 +321,15 @@
     keep: int
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Final answer: this server; what the client does there holds it for about so long."""
+
+    id: str
+    server: int
+    hold: int
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: turned away, a retry does no harm."""
@@ -394,6 +405,7 @@
 Action = (
     Look
     | Fetch
+    | HandOver
     | Refuse
     | Fail
     | CancelAttempt
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -281,6 +281,15 @@
             old.pool.retire()
         self.servers[number] = Server(name, host, port, Pool(self, number, name))
 
+    def where(self, number: int) -> tuple[str, str, int] | None:
+        """The name and address of a server that is ready now."""
+        server = self.servers.get(number)
+        return (server.name, server.host, server.port) if server is not None and server.pool.ready else None
+
+    def families(self) -> set[int]:
+        """The IP versions that ready servers' addresses have."""
+        return {6 if ":" in server.host else 4 for server in self.servers.values() if server.pool.ready}
+
     # --- what the pools call
 
     def ended(self, attempt: int, end: Ended) -> None:
--- a/threadhill/net/serve.py
+++ b/threadhill/net/serve.py
@@ -8,10 +8,14 @@
 
 import orjson
 
-from threadhill.config import Config
+from threadhill.admin.api import Api
+from threadhill.admin.http import HttpConnection
+from threadhill.config import AdminConfig, BadConfig, Config, Operator
 from threadhill.core.clock import Clock
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.engine import Engine
+from threadhill.dns.front import DnsConfig, DnsFront
+from threadhill.dns.transport import DnsServer
 from threadhill.net.journal import Journal
 from threadhill.net.lines import CacheServers
 from threadhill.net.resp import Platform
@@ -28,8 +32,8 @@
 class Proxy:
     """One steering proxy on the running loop."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, operator: Operator) -> None:
+        self.config, self.operator = config, operator
         self.loop = asyncio.get_running_loop()
         self.clock = Clock()
         self.stats = Stats()
@@ -70,12 +74,29 @@
         self.loop.add_signal_handler(signal.SIGTERM, self.leave)
         self.loop.add_signal_handler(signal.SIGINT, self.leave)
         self.loop.add_signal_handler(signal.SIGUSR1, self.report)
+        self.engine.tenants.replace(list(self.operator.tenants))
+        if self.operator.dns is not None:
+            await self._serve_dns(self.operator.dns)
+        if self.operator.admin is not None:
+            await self._serve_admin(self.operator.admin)
         self.front.ready = True
         log(f"{self.config.name}: serving on {host}:{server.sockets[0].getsockname()[1]}")
         await self.done.wait()
         server.close()
         self.report()
 
+    async def _serve_dns(self, config: DnsConfig) -> None:
+        front = DnsFront(self.engine, config, frozenset(self.config.settings.classes), self.caches.where,
+                         self.caches.families)
+        log(f"dns: serving on {await DnsServer(front).listen()}")
+
+    async def _serve_admin(self, config: AdminConfig) -> None:
+        api = Api(self.engine.tenants, self.stats, lambda: log(f"tenants: version {self.engine.tenants.version}"))
+        server = await self.loop.create_server(
+            lambda: HttpConnection(config.token, api, self.deadlines, self.clock.now), *config.listen)
+        host, port = server.sockets[0].getsockname()[:2]
+        log(f"admin: serving on {host}:{port}")
+
     def leave(self) -> None:
         """SIGTERM: clients still come for a while, and all that is taken is answered before the end."""
         if not self._leaving:
@@ -96,8 +117,11 @@
         log(orjson.dumps(self.stats.table()).decode())
 
 
-def serve(config: Config) -> None:
+def serve(config: Config, operator: Operator) -> None:
     async def main() -> None:
-        await Proxy(config).run()
+        await Proxy(config, operator).run()
 
-    asyncio.run(main())
+    try:
+        asyncio.run(main())
+    except OSError as error:  # an address that is in use, or is not this machine's
+        raise BadConfig(str(error)) from None
