--- a/threadhill/admin/http.py
+++ b/threadhill/admin/http.py
@@ -93,7 +93,7 @@
             while not self._closing and not self.slow and self._next():
                 self._wait()
         except Problem as problem:  # how far the faulty request reaches is not known: nothing after it is read
-            self._send(problem.status, problem.body, keep=False)
+            self._send(problem.status, problem.body, keep=False, linger=True)
 
     def backlog_changed(self) -> None:
         if self.transport is not None and not self.slow and len(self.inbound):
@@ -145,7 +145,7 @@
         if scheme.lower() != "bearer" or not hmac.compare_digest(token.strip().encode(), self._token.encode()):
             raise Problem(401, "unauthorized", "a valid bearer token is needed")
 
-    def _send(self, status: int, body: Any, keep: bool, allow: str = "") -> None:
+    def _send(self, status: int, body: Any, keep: bool, allow: str = "", linger: bool = False) -> None:
         raw = b"" if status == 204 else orjson.dumps(body)
         lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(raw)}"]
         if raw:
@@ -157,5 +157,7 @@
         if not keep:
             lines.append("Connection: close")
         self.write("\r\n".join(lines).encode() + b"\r\n\r\n", raw)
-        if not keep:
+        if linger:
+            self.linger(self._deadlines, self._now())
+        elif not keep:
             self.close()
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -109,7 +109,7 @@
         except Malformed as error:
             self.front.engine.stats.count("malformed", "client")
             self.write(b"-ERR " + str(error).encode() + b"\r\n")
-            self.close()
+            self.linger(self.front.engine.deadlines, self.front.engine.clock.now())
 
     def _resume(self) -> None:
         if self.transport is not None:
@@ -216,7 +216,8 @@
 
     def _throttle(self) -> None:
         """Read on only while the client reads what it is sent and has open what it may."""
-        reading = len(self.open) < OPEN and self.backlog() < BACKLOG
+        # A client with all it may have open must still be heard: its next message may be a NEVERMIND.
+        reading = len(self.open) <= OPEN and self.backlog() < BACKLOG
         if reading == self._reading or self.transport is None or self._closing:
             return
         self._reading = reading
--- a/threadhill/net/stream.py
+++ b/threadhill/net/stream.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+from threadhill.core.deadlines import Deadlines
 from threadhill.net.ring import Full, Ring
 
 CHUNK = 64 << 10  # bytes that the transport may hold for the kernel; the rest waits in the ring
+LINGER = 1_000_000  # microseconds in which the peer may read why it is thrown out
 
 
 class Stream(asyncio.BufferedProtocol):
@@ -78,6 +80,15 @@
         if self.transport is not None and not len(self.outbound):
             self.transport.close()
 
+    def linger(self, deadlines: Deadlines, now: int) -> None:
+        """End with an error that the peer can still read: closing over bytes not read yet would reset it away."""
+        self._closing = True
+        self.inbound.skip(len(self.inbound))
+        self.wanted = 1
+        if self.transport is not None and not len(self.outbound):
+            self.transport.write_eof()
+        deadlines.add(now + LINGER, self.abort)
+
     def abort(self) -> None:
         self._closing = True
         if self.transport is not None:
