--- a/threadhill/core/clock.py
+++ b/threadhill/core/clock.py
@@ -1,4 +1,4 @@
-"""The time in whole microseconds, counted as the system's Unix clock does."""
+"""The time in whole microseconds, counted as the system's Unix clock did at the start."""
 
 from __future__ import annotations
 
@@ -6,11 +6,15 @@
 
 
 class Clock:
-    """Unix microseconds that never run backwards: the module's ages and ramps rest on that."""
+    """Unix microseconds at the start, monotonic from there on: a clock set back must not hold up deadlines, nor
+    one set forward end them all. Stamps of others are aged by the Unix clock of the moment."""
 
     def __init__(self) -> None:
-        self._last = 0
+        self._anchor = time.time_ns() - time.monotonic_ns()
 
     def now(self) -> int:
-        self._last = max(self._last, time.time_ns() // 1_000)
-        return self._last
+        return (time.monotonic_ns() + self._anchor) // 1_000
+
+    def age(self, unix: int) -> int:
+        """How long ago that Unix microsecond was; nothing is in the future."""
+        return max(0, time.time_ns() // 1_000 - unix)
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -89,7 +89,7 @@
         self.engine.listed(api.ListNews(kind, tuple(entries), whole(raw.get("revision"), "revision")))
 
     def _expire(self, raw: dict[str, Any]) -> None:
-        age = max(0, self.engine.clock.now() - whole(raw.get("stamp"), "stamp") * 1_000)
+        age = self.engine.clock.age(whole(raw.get("stamp"), "stamp") * 1_000)
         name = raw.get("name")
         group = None if raw.get("set") is None else whole(raw["set"], "set")
         self.engine.purged(api.Purge(name if isinstance(name, str) else None, group, age))
@@ -127,8 +127,11 @@
     def lost(self, feed: Feed) -> None:
         if self.feed is feed:
             self.feed = None
+            self.log("journal: connection lost")
             self.engine.stats.count("journal", "lost")
-            self._connect()
+            # At once, but not in a tight loop with a service that takes connections and ends them.
+            wait = 0 if self.engine.clock.now() - feed.since > AGAIN else AGAIN
+            self.engine.deadlines.add(self.engine.clock.now() + wait, self._connect)
 
 
 class Feed(Stream):
@@ -137,8 +140,10 @@
     def __init__(self, journal: Journal) -> None:
         super().__init__(LINE, 4 << 10)
         self.journal = journal
+        self.since = 0
 
     def opened(self) -> None:
+        self.since = self.journal.engine.clock.now()
         self.journal.feed = self
         self.journal.heard = self.journal.engine.clock.now()
         self.write(b"tail %d\n" % self.journal.pos)
