Share four connections a server instead of one an attempt

Answers on one connection do not delay each other, so POOL of 32 (net/lines.py) only cost handshakes: 118 connections against 12. Concluded: four, so that one broken connection does not take all attempts along.

--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -16,7 +16,7 @@
 BODY = 256 << 10  # of its body; objects have up to 240,000
 OUTBOUND = 256 << 10
 IDLE_SHARE = 0.7  # part of the peer's idle time after which a connection is closed from this side
-POOL = 32  # connections to one server at most
+POOL = 4  # connections to one server at most: answers on a shared one were measured not to delay each other
 MODES = ((api.FillMode.JOIN, "collapse"), (api.FillMode.HELD_ONLY, "only-if-cached"),
          (api.FillMode.PARENT_KEEPS_NOT, "no-store-up"), (api.FillMode.RENEW, "refresh"))
 ENDS = {"ok": api.Outcome.SERVED, "current": api.Outcome.SERVED, "nothing": api.Outcome.MISS,
