Refuse less in the module: look past full rooms, eject on real faults only

The rooms were held by fills that waited for the slow origin, so hits were refused along; and 100 to 250 a window ended as 'cancelled', called off when well caches were ejected by refusals at half a blame each (choice.py: route_read, eject, BAD 0.4).

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -494,6 +494,63 @@
     assert script.serve("a").server == home
 
 
+def fail_throughout(script: Script, outcome: Outcome) -> list[api.Action]:
+    """One request whose every attempt ends so; all that was done about it."""
+    done, attempt = script.ask("a"), 0
+    while (sent := done[-1]) and isinstance(sent, api.Fetch):
+        done += script.end(sent, outcome, attempt)
+        attempt += 1
+    return done
+
+
+def test_refusals_alone_eject_nobody_and_ejection_calls_off_only_what_is_silent() -> None:
+    """Guards against throwing away what a crowded cache keeps, and against asking twice for what it is sending."""
+    script = Script(replace(SETTINGS, tells=api.Tells.NONE))
+    for _ in range(40):  # a full cache refuses, as does a full source behind it: half the blame each
+        fail_throughout(script, Outcome.REFUSED)
+        script.wait(SECOND)
+    assert not any(server.ejections for server in script.router.fleet.servers.values())
+    (slow,) = script.ask("a")
+    home = script.router.fleet.servers[slow.server]
+    done = [action for _ in range(30) for action in fail_throughout(script, Outcome.ERROR)]
+    assert home.ejections and not [a for a in done if isinstance(a, api.CancelAttempt)]
+
+
+def test_past_a_full_room_a_cache_is_still_asked_for_what_it_holds() -> None:
+    """Guards against refusing hits while fills that wait for a slow origin take up the room."""
+    script = Script(entries=fleet(caches=(11,)))
+    sent = [script.ask(f"o{n}")[0] for n in range(60)]
+    looks = [a for a in sent if isinstance(a, api.Fetch) and a.source == a.server == 11]
+    fills = [a for a in sent if isinstance(a, api.Fetch) and a.source != a.server]
+    assert fills and len(looks) > len(fills)
+    assert sent[: len(fills)] == fills  # fills first, then looks, then refusals
+    assert isinstance(sent[-1], api.Refuse)
+    (end,) = script.end(looks[0], Outcome.MISS)
+    assert isinstance(end, api.Refuse)  # at once: it is not held, and nothing may be filled
+
+
+def test_what_is_handed_over_spends_room_and_credit_and_tells_nothing_of_health() -> None:
+    script = Script(entries=fleet(caches=(11,)))
+    server = script.router.fleet.servers[11]
+    handed = [script.ask(f"o{n}", hand_over=True)[0] for n in range(30)]
+    named = [a for a in handed if isinstance(a, api.HandOver)]
+    assert {a.server for a in named} == {11} and isinstance(handed[-1], api.Refuse)
+    assert (server.open, server.unheard, server.bad) == (len(named), 0, 0.0)
+    assert server.credit < 0 and not script.router.jobs
+    script.wait(10 * SECOND)
+    for action in named:
+        ended = api.AttemptEnded(action.id, 0, 11, Outcome.HANDED_OVER, closed=True)
+        assert not script.give(ended)
+    assert (server.open, server.unheard, server.bad, server.heard) == (0, 0, 0.0, 0)
+    server.ejections = 1  # on trial: nothing comes back of a client that goes there itself
+    (other,) = script.ask("o1", hand_over=True)
+    assert isinstance(other, api.HandOver) and other.server != 11
+    server.ejections = 0
+    script.give(api.Purge("o1", None, 0))
+    (after,) = script.ask("o1", hand_over=True)
+    assert isinstance(after, api.HandOver) and after.server == 31
+
+
 def test_never_all_caches_are_ejected() -> None:
     script = Script(replace(SETTINGS, direct=False))
     for n in range(200):
--- a/threadhill/choice.py
+++ b/threadhill/choice.py
@@ -25,11 +25,12 @@
 LINK_FULL = 1.0  # x1 at which the link's transfers fill it (by its definition): no copies are added
 LINK_MEMORY = 1_500_000  # microseconds over which reports of the link are smoothed: single fills are bursts
 LINK_JAM = 1.2  # x1 from which fills are left out now and then, at twice that always
-MEMORY = 0.2  # weight of the newest outcome in a health or speed average: about five outcomes
+MEMORY = 0.2  # weight of the newest outcome in a speed average: about five outcomes
+BLAME_MEMORY = 0.1  # the same in a health average: about ten, so that a crowded moment ejects nobody
 SLOW_MEMORY = 0.02  # weight of the newest sample in averages over all servers: about fifty samples
 FASTER = 0.75  # the second parent is the source where its time is under this part of the first's
 LATENCY = 50_000  # microseconds added to a sending time so that small answers compare by latency
-BAD = 0.4  # average blame at which a server is ejected: three failures in a row, or about half of all
+BAD = 0.6  # average blame at which a server is ejected: more than the half that refusals alone can bring
 SILENT = 600_000  # microseconds without any answer, at the least, before a server counts as silent
 SILENT_TIMES = 4.0  # usual answer times that make a silence
 SILENT_SENDS = 3  # attempts that a silent server has open at the least: one may be just large
@@ -38,9 +39,10 @@
 COLD_SAFETY = 0.65  # part of a cold server's budget that is used: chance, late news, unequal routers
 ROOM_FIRST = 12.0  # attempts that a server may hold before anything is known of it
 ROOM_LEAST = 3.0  # attempts that it may always hold
+LOOKS = 3.0  # rooms that looks for what is held may fill
 ROOM_SHRINKS = 0.1  # part of the room taken off for a refusal or an answer after the aim
-PATIENCE = 2.5  # an attempt's time-out in aims, while another may follow and the link is not jammed
-RETRY_SHARE = 0.15  # further attempts that each first try pays for
+PATIENCE = 4.0  # an attempt's time-out in aims, while another may follow and the link is not jammed
+RETRY_SHARE = 0.05  # further attempts that each first try pays for
 RETRY_BURST = 20.0  # further attempts that may be saved up: what one hung server may hold
 FIRST_SEND = 50_000  # microseconds that a sending is taken for at first: low, as budgets are learnt from it
 FADES = 8 * SECOND  # microseconds in which what was seen of a server's pace or a parent's speed is forgotten
@@ -132,7 +134,7 @@
         for s in servers:
             # A hung server fails nothing: it is known by silence. Covers a cut network and long stalls too.
             if s.unheard >= SILENT_SENDS and self.now - s.unheard_since > silence:
-                self.eject(s)
+                self.eject(s, silent=True)
         well = [s for s in servers if self.now >= s.ejected_until] or servers
         return [s for s in well if self.in_budget(s, work)]
 
@@ -195,7 +197,11 @@
             may = self.in_scope(job, source) and draw < self.in_time_chance(job, source)
             return (source, source) if may else None
         # Guard 8: full caches refuse. Sending past them would only move the crowd to link and origin.
-        usable = [s for s in fit if s.open < s.room and draw < self.in_time_chance(job, s)]
+        quick = [s for s in fit if draw < self.in_time_chance(job, s)]
+        usable = [s for s in quick if s.open < s.room]
+        if not usable and not job.ask.hand_over:
+            # What fills the rooms may be waiting for a slow origin. What is held needs none of that: only a look.
+            usable, source = [s for s in quick if s.open < LOOKS * s.room], None
         usable = [s for s in usable if s.entry.server not in job.avoid] or usable
         rate = self.rates.get(job.ask.object, Rate())
         pool = usable[: rate.copies]
@@ -412,7 +418,7 @@
             source.speed[job.large] = (old + weight * (time - old), self.now)
 
     def score(self, job: Job, server: Server, blame: float) -> None:
-        server.bad += MEMORY * (blame - server.bad)
+        server.bad += BLAME_MEMORY * (blame - server.bad)
         if blame:
             job.avoid.add(server.entry.server)
             if server.bad > BAD:
@@ -424,8 +430,9 @@
         server.ejected_until = self.now + min(EJECT_MOST, EJECT_FIRST << min(server.ejections, 10))
         server.ejections += 1
 
-    def eject(self, server: Server) -> None:
-        """Guard 3: out for a while, but never over half of its peers; what it holds is asked elsewhere."""
+    def eject(self, server: Server, silent: bool = False) -> None:
+        """Guard 3: out for a while, but never over half of its peers. What a silent one has in hand is asked
+        elsewhere; one that failed others may still serve it, and a repeat would cost the fleet the same again."""
         peers = self.fleet.peers(server)
         out = [p for p in peers if p is not server and self.now < p.ejected_until]
         if 2 * (len(out) + 1) > len(peers):
@@ -436,7 +443,7 @@
         self.put_out(server)
         server.unheard = 0
         for job in self.jobs.values():
-            safe = self.set.cancel and job.cls.effect is api.Effect.SAFE
+            safe = silent and self.set.cancel and job.cls.effect is api.Effect.SAFE
             if safe and job.out and job.tried[-1][0] == server.entry.server:
                 self.actions.append(api.CancelAttempt(job.ask.id, len(job.tried) - 1))
 
