Write requests that wait for a connection as soon as any has room

Seen by reading, then shown by a test that failed before: with four connections a server, a burst at the start wrote four requests, and the fifth waited until one of them was answered (net/lines.py, Pool.done took waiting ones only on a connection with nothing out). A closing connection could be picked too, and one whose ring was full swallowed the request until its time-out. Now one place picks a connection and writes what waits in its order; a connection on which an attempt ran out of time unheard gets nothing new, so that a vanished machine is found by the next dial even while others are out there.

--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -120,6 +120,22 @@
     play(tmp_path, scene)
 
 
+def test_more_requests_than_connections_are_all_written_at_once(tmp_path: Path) -> None:
+    """Guards against requests that waited for an answer to others, once all connections had one out."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None
+        client = await w.client()
+        for n in range(10):
+            client.ask("clip-parts", n=n, budget=60_000)
+        await until(lambda: len(w.asked()) == 10, "all ten to be written while none is answered")
+        assert all(len(box.writers) <= 4 for box in w.boxes)
+        assert not client.answers
+
+    play(tmp_path, scene, caches=1)
+
+
 def test_nevermind_undoes_the_attempt_and_is_not_answered(tmp_path: Path) -> None:
     async def scene(w: World) -> None:
         for box in w.boxes:
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -16,6 +16,7 @@
 BODY = 256 << 10  # of its body; objects have up to 240,000
 OUTBOUND = 256 << 10
 IDLE_SHARE = 0.7  # part of the peer's idle time after which a connection is closed from this side
+USED = 64  # ids given up on a connection after which it is closed
 POOL = 4  # connections to one server at most: answers on a shared one were measured not to delay each other
 MODES = ((api.FillMode.JOIN, "collapse"), (api.FillMode.HELD_ONLY, "only-if-cached"),
          (api.FillMode.PARENT_KEEPS_NOT, "no-store-up"), (api.FillMode.RENEW, "refresh"))
@@ -74,19 +75,22 @@
         self.pool = pool
         self.open: dict[str, int] = {}  # id -> attempt
         self.used: set[str] = set()  # ids given up here: their late answers must not pass for a new attempt's
-        self.up = False
+        self.suspect = False  # an attempt ran out of time here and nothing has come since it was sent
         self.heard = self.idle_since = 0
         self._head: tuple[str, str, str] | None = None
 
     def opened(self) -> None:
-        self.up = True
         self.pool.opened(self)
 
     def ended(self) -> None:
         self.pool.lost(self)
 
+    @property
+    def usable(self) -> bool:
+        return self.transport is not None and not self._closing and not self.suspect
+
     def parse(self) -> None:
-        self.heard = self.pool.caches.engine.clock.now()
+        self.heard, self.suspect = self.pool.caches.engine.clock.now(), False
         while not self._closing:
             if self._head is None:
                 line = self.inbound.peek(HEAD)
@@ -132,82 +136,85 @@
     def __init__(self, caches: CacheServers, number: int, name: str) -> None:
         self.caches, self.number, self.name = caches, number, name
         self.wires: list[Wire] = []
-        self.idle: list[Wire] = []  # the last used comes first
         self.waiting: deque[int] = deque()
         self.dialling = 0
         self.ready = True
 
     def send(self, attempt: int) -> None:
-        id = self.caches.sendings[attempt].order.ask.rid
-        wire = next((w for w in reversed(self.idle) if id not in w.used), None)
-        if wire is None and len(self.wires) + self.dialling >= self.caches.pool_most:
-            spare = [w for w in self.wires if id not in w.open and id not in w.used and not w.slow]
-            spare = [w for w in spare if len(w.open) < self.caches.streams]
-            wire = min(spare, key=lambda w: len(w.open), default=None)
-        if wire is not None:
-            self._write(wire, attempt)
-            return
         self.waiting.append(attempt)
-        if self.dialling < len(self.waiting) and len(self.wires) + self.dialling < self.caches.pool_most:
+        self._drain()
+
+    def _drain(self) -> None:
+        """Write what waits, in its order, as far as there are connections; dial for the rest."""
+        while self.waiting:
+            sending = self.caches.sendings.get(self.waiting[0])
+            wire = self._pick(sending.order.ask.rid) if sending is not None else None
+            if sending is not None and wire is None:
+                break
+            attempt = self.waiting.popleft()
+            if wire is not None:
+                self._write(wire, attempt)
+        good = sum(wire.usable for wire in self.wires)
+        while self.dialling < len(self.waiting) and good + self.dialling < self.caches.pool_most and self.ready:
             self.caches.dial(self)
 
+    def _pick(self, id: str) -> Wire | None:
+        """An idle connection, the last used first; where no more may be dialled, the one with the fewest out."""
+        fit = [w for w in self.wires if w.usable and not w.slow and id not in w.open and id not in w.used]
+        idle = [w for w in fit if not w.open]
+        if idle:
+            return max(idle, key=lambda w: w.idle_since)
+        if sum(wire.usable for wire in self.wires) + self.dialling < self.caches.pool_most:
+            return None
+        return min((w for w in fit if len(w.open) < self.caches.streams), key=lambda w: len(w.open), default=None)
+
     def _write(self, wire: Wire, attempt: int) -> None:
-        if wire in self.idle:
-            self.idle.remove(wire)
         sending = self.caches.sendings[attempt]
+        body = sending.order.ask.body
+        if not wire.write(self.caches.head(sending.order), body, b"\r\n"):
+            self.caches.ended(attempt, Ended(api.Outcome.UNSENT))
+            return
         sending.wire, sending.at = wire, self.caches.engine.clock.now()
         wire.open[sending.order.ask.rid] = attempt
-        head = self.caches.head(sending.order)
-        self.caches.engine.stats.count("bytes_out", "servers", len(sending.order.ask.body))
-        wire.write(head, sending.order.ask.body, b"\r\n")
+        self.caches.engine.stats.count("bytes_out", "servers", len(body))
 
     def opened(self, wire: Wire) -> None:
         self.wires.append(wire)
         self.caches.engine.stats.count("connection", "opened")
-        self.done(wire)
+        wire.idle_since = self.caches.engine.clock.now()
 
     def done(self, wire: Wire) -> None:
-        """A connection may have become free: the attempt that waited longest takes it."""
-        if wire.open or wire.transport is None or wire.transport.is_closing():
-            return
+        """A connection has room again: what waits longest takes it."""
         wire.idle_since = self.caches.engine.clock.now()
-        while self.waiting:
-            attempt = self.waiting.popleft()
-            if attempt in self.caches.sendings:
-                self._write(wire, attempt)
-                return
-        if not self.ready or len(wire.used) > 64:
+        self._drain()
+        if not wire.open and (not self.ready or len(wire.used) > USED):
             wire.close()
-        elif wire not in self.idle:
-            self.idle.append(wire)
 
     def lost(self, wire: Wire) -> None:
-        if wire in self.idle:
-            self.idle.remove(wire)
         if wire in self.wires:
             self.wires.remove(wire)
         self.caches.engine.stats.count("connection", "closed")
         attempts, wire.open = list(wire.open.values()), {}
         for attempt in attempts:
             self.caches.ended(attempt, Ended(api.Outcome.BROKEN))
+        self._drain()
 
-    def failed(self) -> None:
-        """A connection did not come up: as many attempts as wait beyond those still dialled have no way."""
-        while len(self.waiting) > self.dialling and self.waiting:
-            attempt = self.waiting.popleft()
-            self.caches.ended(attempt, Ended(api.Outcome.UNREACHED))
+    def dialled(self, up: bool) -> None:
+        """A dial ended. Where it failed, what waits beyond the dials still out has no way to the server."""
+        self.dialling -= 1
+        while not up and len(self.waiting) > self.dialling and not any(wire.usable for wire in self.wires):
+            self.caches.ended(self.waiting.popleft(), Ended(api.Outcome.UNREACHED))
+        self._drain()
 
     def retire(self) -> None:
         """The server drains or is gone: what waits must not be written to it any more."""
         self.ready = False
         while self.waiting:
             self.caches.ended(self.waiting.popleft(), Ended(api.Outcome.UNSENT))
-        for wire in list(self.idle):
-            wire.close()
+        self.close_idle(self.caches.engine.clock.now() + 1)
 
     def close_idle(self, before: int) -> None:
-        for wire in [w for w in self.idle if w.idle_since < before]:
-            self.idle.remove(wire)
+        for wire in [w for w in self.wires if not w.open and w.idle_since < before]:
             wire.close()
 
 
@@ -252,8 +259,10 @@
             return False
         wire, id = sending.wire, sending.order.ask.rid
         if wire.open.pop(id, None) is not None and wire.transport is not None:
-            if wire.heard < sending.at and not wire.open:
-                # Nothing came since this was sent: the machine may have vanished, which no reset will tell.
+            # Nothing came since this was sent: the machine may have vanished, which no reset will tell. What
+            # else is out here may wait; anything new goes to a new connection, which will not come up then.
+            wire.suspect = wire.heard < sending.at
+            if wire.suspect and not wire.open:
                 wire.abort()
             else:
                 wire.used.add(id)
@@ -331,7 +340,6 @@
         except OSError as error:  # a time-out is one too
             self.engine.stats.count("connection", "failed")
             self.log(f"{pool.name}: no connection: {error!r}")
-            pool.dialling -= 1
-            pool.failed()
+            pool.dialled(up=False)
         else:
-            pool.dialling -= 1
+            pool.dialled(up=True)
