--- a/threadhill/choice.py
+++ b/threadhill/choice.py
@@ -263,12 +263,19 @@
             self.finish(job)
             return
         server, source = way
-        for one in [server] if source is server else [server, source]:
-            one.credit -= job.work
-        server.open += 1
+        self.charge(job, server, source)
         del self.jobs[job.ask.id]
         self.actions.append(api.HandOver(job.ask.id, server.entry.server, int(job.send)))
 
+    @staticmethod
+    def charge(job: Job, server: Server, source: Server) -> list[Server]:
+        """Take credit and room for what is sent there; the servers that it is work for."""
+        asked = [server] if source is server else [server, source]
+        for one in asked:
+            one.credit -= job.work
+        server.open += 1
+        return asked
+
     def attempt(self, job: Job) -> None:
         """Send the request on, or end it where nothing may be asked."""
         way = self.route_write(job) if job.write else self.route_read(job)
@@ -276,14 +283,12 @@
             self.finish(job)
             return
         server, source = way
-        for one in [server] if source is server else [server, source]:
-            one.credit -= job.work
+        for one in self.charge(job, server, source):
             if one.ejections:  # a trial: out again, for longer, unless it goes well
                 self.put_out(one)
         if not server.unheard:
             server.unheard_since = self.now
         server.unheard += 1
-        server.open += 1
         join, renew = FillMode.JOIN * self.set.joins, FillMode.RENEW * bool(job.cls.fresh)
         limit = max(1, job.deadline - self.now - 2 * ANSWER_EARLY)  # before the timer, to be learnt from
         spare = len(job.tried) + 1 < self.set.max_attempts and self.retries >= 1 and self.link < LINK_JAM
