--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -217,6 +217,42 @@
     play(tmp_path, scene)
 
 
+def test_a_silent_journal_is_dialled_anew_and_nothing_is_missed(tmp_path: Path) -> None:
+    """Guards against a drain that is never heard of because the journal's machine vanished without a reset."""
+
+    async def scene(w: World) -> None:
+        w.journal.silent = True
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        await until(lambda: len(w.journal.tails) > 1, "another connection to the journal")
+        w.journal.silent = False
+        await w.told()
+        client = await w.client()
+        for i in range(20):
+            await client.get(obj=f"{i:016x}")
+        assert not w.caches[0].asked and w.caches[1].asked
+
+    play(tmp_path, scene)
+
+
+def test_a_machine_that_vanished_is_found_by_the_next_dial(tmp_path: Path) -> None:
+    """Guards against new requests on connections that stay open and silent: an attempt that ran out of time there
+    unheard ends their use, and the dial that follows is refused."""
+
+    async def scene(w: World) -> None:
+        lost = w.origin
+        lost.behave = lambda ask: None
+        client = await w.client()
+        keys = [client.ask("license-buy", b"x", token="a", budget=400) for _ in range(4)]
+        await until(lambda: len(lost.asked) == 4)
+        lost.server.close()  # it takes no connection any more; those it has stay as they are
+        for tag in keys:
+            assert (await client.answer(tag))[0] in ("503", "500")
+        assert (await client.get("license-buy", b"x", token="b", budget=30_000))[0] == "503"
+        assert len(lost.asked) == 4
+
+    play(tmp_path, scene)
+
+
 def test_sigterm_serves_on_answers_all_and_exits_with_0(tmp_path: Path) -> None:
     async def scene(w: World) -> None:
         for box in w.boxes:
--- a/tests/world.py
+++ b/tests/world.py
@@ -121,18 +121,20 @@
 
 
 class Journal(Listener):
-    """The journal service; it counts a line a second only when told to."""
+    """The journal service."""
 
     def __init__(self) -> None:
         super().__init__()
         self.events: list[dict[str, Any]] = []
         self.tails: list[int] = []
+        self.silent = False  # connections stay open and say nothing, as those of a machine that vanished
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         last = int((await reader.readline()).split()[1])
         self.tails.append(last)
         beat = 0.0
         while not writer.is_closing():
+            await until(lambda: not self.silent or writer.is_closing())
             for event in [e for e in self.events if e["pos"] > last]:
                 writer.write(json.dumps(event).encode() + b"\n")
                 last = event["pos"]
