Ask a source for no more fills at once than come in time

What they had in common was fills without a bound: nothing in choice.py limited what one parent was asked for at once. Checked: a room for fills a source, shrinking for late ones.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -529,6 +529,25 @@
     assert isinstance(end, api.Refuse)  # at once: it is not held, and nothing may be filled
 
 
+def test_a_source_that_fills_too_late_is_asked_for_fewer_at_once() -> None:
+    """Guards against pushing a slow origin over: what it can't fill in time is answered from what caches hold."""
+    script = Script(replace(SETTINGS, second_copies=True, tells=api.Tells.NONE), fleet(parents=(21,)))
+    source = script.router.fleet.servers[21]
+    out = [script.ask(f"o{n}")[0] for n in range(24)]
+    assert source.fills == 24 and {a.source for a in out} == {21}
+    for sent in out:  # too late for the aim, but answered
+        script.end(sent, took=2 * SECOND)
+    assert source.fills == 0 and 1 <= source.fill_room < 24
+    out = [script.ask(f"p{n}")[0] for n in range(30)]
+    fills = [a for a in out if isinstance(a, api.Fetch) and a.source == 21]
+    looks = [a for a in out if isinstance(a, api.Fetch) and a.source == a.server]
+    assert len(fills) == source.fills <= source.fill_room + 1 and looks
+    room = source.fill_room
+    for sent in fills:
+        script.end(sent, took=MS)
+    assert source.fill_room > room and not script.router.filling.get((fills[0].id, 0))
+
+
 def test_what_is_handed_over_spends_room_and_credit_and_tells_nothing_of_health() -> None:
     script = Script(entries=fleet(caches=(11,)))
     server = script.router.fleet.servers[11]
--- a/threadhill/choice.py
+++ b/threadhill/choice.py
@@ -40,6 +40,8 @@
 ROOM_FIRST = 12.0  # attempts that a server may hold before anything is known of it
 ROOM_LEAST = 3.0  # attempts that it may always hold
 LOOKS = 3.0  # rooms that looks for what is held may fill
+FILLS_LEAST = 12.0  # fills that a source may always be asked for at once
+FILLS_SHRINK = 0.05  # part of that room taken off for a late one
 ROOM_SHRINKS = 0.1  # part of the room taken off for a refusal or an answer after the aim
 PATIENCE = 4.0  # an attempt's time-out in aims, while another may follow and the link is not jammed
 RETRY_SHARE = 0.05  # further attempts that each first try pays for
@@ -75,6 +77,7 @@
         self.sends = {name: Mean(FIRST_SEND, 1) for name in settings.classes}
         self.usual_took, self.usual_send = Mean(), Mean()
         self.fill_time: dict[bool, Mean] = {}
+        self.filling: dict[tuple[str, int], int] = {}  # (request, attempt) -> source of its fill
         self.purges: dict[str | int, int] = {}
         self.retries = self.burst = max(1.0, RETRY_BURST / self.crew)
         self.link, self.link_heard = 0.0, 0  # how full the location's link in is, and when that was told
@@ -215,6 +218,8 @@
         cache = pool[self.random.randrange(len(pool))]
         # Guard 9: a jammed link serves nobody in time, so the cache is asked only for what it holds. What is
         # small for its link time is still filled, as more answers fit.
+        if source is not None and source.fill_room and source.fills >= source.fill_room:
+            return cache, cache  # Guard 11
         excess = (self.link - LINK_JAM) / LINK_JAM * job.send / (self.usual_send.value or 1)
         if source is None or self.random.random() < max(excess, 1 - self.fill_chance(job, source)):
             return cache, cache
@@ -286,6 +291,9 @@
         for one in self.charge(job, server, source):
             if one.ejections:  # a trial: out again, for longer, unless it goes well
                 self.put_out(one)
+        if source is not server:
+            source.fills += 1
+            self.filling[job.ask.id, len(job.tried)] = source.entry.server
         if not server.unheard:
             server.unheard_since = self.now
         server.unheard += 1
@@ -315,8 +323,23 @@
         return all(s is not None and s.entry.zone == server.entry.zone
                    and (not by_cell or s.entry.cell == server.entry.cell) for s in known)
 
+    def settle_fill(self, end: api.AttemptEnded, job: Job | None) -> None:
+        """Guard 11: a source has room for as many fills as come in time; what is too much for it would only make
+        all of them late, and an origin that is pushed further stops."""
+        source = self.fleet.servers.get(self.filling.pop((end.id, end.attempt), -1))
+        if source is None:
+            return
+        held = source.fills
+        source.fills = max(0, held - 1)
+        late = job is not None and end.took > job.aim
+        if end.outcome is Outcome.TIMED_OUT or end.outcome is Outcome.SERVED and late:
+            source.fill_room = max(FILLS_LEAST, min(source.fill_room or held, held) * (1 - FILLS_SHRINK))
+        elif end.outcome is Outcome.SERVED and source.fill_room and held >= source.fill_room / 2:
+            source.fill_room += 1 / source.fill_room
+
     def on_ended(self, end: api.AttemptEnded) -> None:
         server, job = self.fleet.servers.get(end.server), self.jobs.get(end.id)
+        self.settle_fill(end, job)
         if server is not None:
             if "link" in end.load and server in self.fleet.caches:
                 weight = min(1.0, (self.now - self.link_heard) / LINK_MEMORY)  # any of them tells of the link
--- a/threadhill/state.py
+++ b/threadhill/state.py
@@ -21,6 +21,8 @@
     ejected_until: int = 0
     ejections: int = 0
     open: int = 0  # attempts out
+    fills: int = 0  # attempts out at others that may ask this one for a fill
+    fill_room: float = 0.0  # how many of them there may be; 0 before the first
     heard: int = 0  # when it last answered anything
     unheard: int = 0  # attempts since it was last heard of, and when the first of them went out
     unheard_since: int = 0
