Fail unknown tenants; use nothing idle at a machine that vanished; no attempt too late

Seen: the test of a vanished machine failed now and then. Two causes, told apart by what the stand-in was asked. And an idle connection to that machine was not suspect, as nothing had ever been sent on it (net/lines.py, drop): idle ones are closed when another ran out of time unheard. Seen by reading: a request under a tenant's name that nobody had set up was served without any quota; once there are tenants it fails.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -143,6 +143,7 @@
         assert first[0] == "200" and all(word == "503" and int(fields["backoff"]) > 0 for word, fields, _ in rest)
         assert (await client.get())[0] == "200"
         assert len(w.asked()) == 2  # what was refused reached nobody
+        assert (await client.get(acct="nobody"))[0] == "500" and len(w.asked()) == 2
         await api("PUT", "/v1/tenants/acme", {"quota": 0})
         assert [(await client.get(acct="acme"))[0] for _ in range(12)] == ["200"] * 12
 
--- a/threadhill/choice.py
+++ b/threadhill/choice.py
@@ -477,7 +477,8 @@
 
     def may_retry(self, job: Job) -> bool:
         """Guard 4: within the attempts allowed and the router's budget, which a failing fleet can't raise."""
-        if len(job.tried) >= self.set.max_attempts or self.now >= job.deadline or self.retries < 1:
+        too_late = self.now >= job.deadline - 2 * ANSWER_EARLY  # it would be given up as soon as it is sent
+        if len(job.tried) >= self.set.max_attempts or too_late or self.retries < 1:
             return False
         if not job.may_have_run or job.cls.effect is api.Effect.SAFE:
             return True
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -66,6 +66,10 @@
         self.deadlines.sweep(self.clock.now())
         handle = self.requests.add(Request(front, ref, ask))
         self.stats.count("taken", ask.cls)
+        if not self.tenants.knows(ask.tenant):
+            self.stats.count("no_such_tenant")
+            self._finish(handle, Answer(Final.FAILED))
+            return handle
         wait = self.tenants.wait(ask.tenant, self.clock.now())
         if wait:  # over its tenant's quota: nothing of it reaches the module, or what others are given
             self.stats.count("over_quota", ask.tenant or "")
--- a/threadhill/core/tenants.py
+++ b/threadhill/core/tenants.py
@@ -62,6 +62,10 @@
         self.by_name, self.version = new, self.version + 1
         return True
 
+    def knows(self, name: str | None) -> bool:
+        """Whether requests under this name are taken. Where no tenant was ever set up, names mean nothing."""
+        return name is None or not self.version or name in self.by_name
+
     def wait(self, name: str | None, now: int) -> int:
         """0 where a request of this tenant is within its quota, else how long until one would be."""
         tenant = self.by_name.get(name) if name is not None else None
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -262,6 +262,8 @@
             # Nothing came since this was sent: the machine may have vanished, which no reset will tell. What
             # else is out here may wait; anything new goes to a new connection, which will not come up then.
             wire.suspect = wire.heard < sending.at
+            if wire.suspect:  # an idle connection knows no better
+                wire.pool.close_idle(self.engine.clock.now() + 1)
             if wire.suspect and not wire.open:
                 wire.abort()
             else:
