--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -10,7 +11,7 @@
 
 import pytest
 
-from tests.world import OBJECT, Box, World, until, whole
+from tests.world import OBJECT, Box, Journal, World, until, whole
 
 
 def play(folder: Path, scene: Callable[[World], Awaitable[None]], **more: object) -> None:
@@ -234,6 +235,83 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("up", [True, False])
+def test_a_reload_moves_the_journal_from_the_last_event_on(tmp_path: Path, up: bool) -> None:
+    """Guards against an end on SIGHUP, and against a journal that is left late or asked from the start. Where the
+    old one is down the proxy is between two dials."""
+
+    async def scene(w: World) -> None:
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        await w.told()
+        old, w.journal = w.journal, Journal()
+        w.journal.events = list(old.events)
+        await w.journal.start()
+        if not up:
+            old.server.close()
+            old.reset()
+            await w.logged("journal: no connection")
+        w.configure()
+        w.process.send_signal(signal.SIGHUP)
+        await until(lambda: w.journal.tails and not old.writers, "the journal's move")
+        w.journal.hosts(w.caches[0].member())
+        w.journal.hosts(w.caches[1].member("DRAINING"))
+        old.add({"hosts": {"members": [box.member("DELETED") for box in w.boxes]}})
+        await w.told()
+        assert w.journal.tails == [2] and old.tails == [1]
+        client = await w.client()
+        assert [(await client.get(obj=f"{i:016x}"))[0] for i in range(10)] == ["200"] * 10
+        assert len(w.caches[0].asked) == 10
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("bad", [b"{", b"[]", b'{"journal": "nowhere"}', b"\xff"])
+def test_a_reload_of_a_bad_file_changes_nothing_and_is_logged(tmp_path: Path, bad: bytes) -> None:
+    async def scene(w: World) -> None:
+        good = (tmp_path / "config.json").read_bytes()
+        (tmp_path / "config.json").write_bytes(bad)
+        w.process.send_signal(signal.SIGHUP)
+        await w.logged("everything stays as it is")
+        # Whatever is right in it but for one event: the journal must not move.
+        (tmp_path / "config.json").write_bytes(good.replace(b'"phase"', b'"phrase"').replace(b"journal", b"j", 1))
+        w.process.send_signal(signal.SIGHUP)
+        await until(lambda: w.log.count("everything stays as it is") == 2)
+        assert (await (await w.client()).get())[0] == "200"
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        await w.told()
+        assert w.journal.tails == [1]
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("cut", ["half a line", "a gap", "noise"])
+def test_a_journal_that_breaks_off_is_asked_again_from_the_last_whole_event(tmp_path: Path, cut: str) -> None:
+    """Guards against half an event applied, or one left out: what comes after a gap is asked for once more."""
+
+    async def scene(w: World) -> None:
+        drain = {"hosts": {"members": [w.caches[0].member("DRAINING")]}}
+        raw = json.dumps({"pos": 2} | drain).encode()
+        gap = json.dumps({"pos": 3, "expire": {"set": 1, "stamp": 1}}).encode()
+        w.journal.silent = True
+        (writer,) = w.journal.writers
+        writer.write({"half a line": raw[:-9], "a gap": gap + b"\n", "noise": b"\xff\x00[{\n"}[cut])
+        await writer.drain()
+        if cut == "half a line":
+            w.journal.reset()
+        await until(lambda: len(w.journal.tails) > 1, "another connection")
+        assert w.journal.tails[1] == 1
+        w.journal.add(drain)
+        w.journal.events *= 2  # each of them told twice
+        w.journal.silent = False
+        await until(lambda: w.counted("journal", "events") == 2, "the event")
+        client = await w.client()
+        for i in range(10):
+            await client.get(obj=f"{i:016x}")
+        assert len(w.caches[1].asked) == 10
+
+    play(tmp_path, scene)
+
+
 def test_a_machine_that_vanished_is_found_by_the_next_dial(tmp_path: Path) -> None:
     """Guards against new requests on connections that stay open and silent: an attempt that ran out of time there
     unheard ends their use, and the dial that follows is refused."""
--- a/tests/world.py
+++ b/tests/world.py
@@ -202,8 +202,8 @@
     """Caches, a parent, the origin, the journal, and one proxy process."""
 
     def __init__(self, folder: Path, caches: int = 2, operator: str = "",
-                 settings: dict[str, Any] | None = None) -> None:
-        self.folder, self.operator = folder, operator
+                 settings: dict[str, Any] | None = None, sockets: int = 1024) -> None:
+        self.folder, self.operator, self.sockets = folder, operator, sockets
         self.caches = [Box(f"s-{i:08x}") for i in range(1, caches + 1)]
         self.parent, self.origin = Box("s-000000b1", "parent", "sierra"), Box("s-000000c1", "origin", "sierra")
         self.boxes = [*self.caches, self.parent, self.origin]
@@ -218,11 +218,7 @@
         for listener in [*self.boxes, self.journal]:
             await listener.start()
         self.journal.hosts(*(box.member() for box in self.boxes), complete=True)
-        config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": self.settings,
-                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                  "journal": f"127.0.0.1:{self.journal.port}",
-                  "known": {"pos": 1, "entries": [self.journal.events[0]]}}
-        (self.folder / "config.json").write_text(json.dumps(config))
+        self.configure()
         words = [sys.executable, "-m", "threadhill", "serve"]
         if self.operator:
             (self.folder / "operator.toml").write_text(self.operator)
@@ -235,6 +231,17 @@
         await until(lambda: self.journal.tails, "the journal's reader")
         return self
 
+    def configure(self, **more: Any) -> None:
+        """Write the configuration file, or replace it."""
+        config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": self.settings,
+                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+                  "journal": f"127.0.0.1:{self.journal.port}",
+                  "known": {"pos": 1, "entries": [self.journal.events[0]]}} | more
+        (self.folder / "config.json").write_text(json.dumps(config))
+
+    async def logged(self, text: str) -> None:
+        await until(lambda: text in self.log, f"{text!r} in the log")
+
     async def __aexit__(self, *error: object) -> None:
         if self.process.returncode is None:
             self.process.kill()
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -16,8 +16,9 @@
 from threadhill.core.tenants import Tenant
 from threadhill.dns.front import DnsConfig
 from threadhill.dns.message import labels_of
+from threadhill.net.journal import Event, read_event
 from threadhill.net.lines import Limits
-from threadhill.settings import Malformed, mapping, read_settings, sequence, text, whole
+from threadhill.settings import Malformed, address, mapping, read_settings, sequence, text, whole
 
 LEFT_FREE = 48  # descriptors for the journal, listeners, dials under way and the like
 
@@ -34,20 +35,12 @@
     listen: tuple[str, int]
     seed: int
     settings: api.Settings
-    known: tuple[int, list[dict[str, Any]]]  # the last event's number, and the events
+    known: tuple[int, list[Event]]  # the last event's number, and the events
     journal: tuple[str, int] | None
     limits: Limits
     clients: int  # connections that clients may hold
 
 
-def address(value: Any, what: str) -> tuple[str, int]:
-    """`host:port`; a host in brackets is IPv6."""
-    host, colon, port = text(value, what).rpartition(":")
-    if not colon or not port.isdigit() or not 0 <= int(port) < 65_536:
-        raise Malformed(f"{what} is not host:port: {value!r}")
-    return host.strip("[]"), int(port)
-
-
 def read_config(raw: Any, environ: Mapping[str, str]) -> Config:
     """The configuration from its JSON; the environment's name and address go first."""
     raw = mapping(raw, "the configuration")
@@ -62,7 +55,8 @@
         listen=address(environ.get("LB_LISTEN") or raw.get("listen"), "listen"),
         seed=int(seed, 16) if isinstance(seed, str) else whole(seed, "seed"),
         settings=read_settings(options),
-        known=(whole(known.get("pos"), "known.pos"), sequence(known.get("entries"), "known.entries")),
+        known=(whole(known.get("pos"), "known.pos"),
+               [read_event(event) for event in sequence(known.get("entries"), "known.entries")]),
         journal=address(raw["journal"], "journal") if raw.get("journal") else None,
         limits=Limits(
             descriptors=max(16, sockets - clients - LEFT_FREE),
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -4,22 +4,23 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
 
 from threadhill import interface as api
-from threadhill.config import address
 from threadhill.core.engine import Engine
 from threadhill.hashing import number_of
 from threadhill.net.lines import CacheServers
 from threadhill.net.stream import Stream
-from threadhill.settings import Malformed, mapping, number, sequence, text, whole
+from threadhill.settings import Malformed, address, mapping, must_whole, number, sequence, text, whole
 
 LINE = 1 << 20  # bytes of a line at most: a list of thousands of servers
 SILENCE = 1_700_000  # microseconds without a line, which come every second, after which it is dialled anew
 CONNECT = 0.5  # seconds that a connection may take to come up
-AGAIN = 50_000  # microseconds between tries while none comes up
+AGAIN = 50_000  # microseconds between tries while none comes up, doubled for each that tells nothing new
+AGAIN_MOST = 400_000  # at most: what was missed counts as told 2 s after a break
 STATES = {"SERVING": api.State.READY, "DRAINING": api.State.DRAINING, "DELETED": api.State.GONE}
 
 
@@ -33,10 +34,33 @@
     return number_of(name) & 0xFFFFFFFF
 
 
-def read_member(raw: Any) -> tuple[api.Entry, str, tuple[str, int] | None]:
-    """One member of a list, with its id and, unless it is gone, its address."""
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One server of a list, with its id and, unless it is gone, its address."""
+
+    entry: api.Entry
+    name: str
+    where: tuple[str, int] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event, read whole before any of it is applied."""
+
+    pos: int
+    members: tuple[Member, ...] | None = None
+    complete: bool = False
+    revision: int = 0
+    object: str | None = None
+    group: int | None = None
+    stamp: int | None = None  # Unix microseconds of the purge; None: the event is none
+
+
+def read_member(raw: Any) -> Member:
     raw = mapping(raw, "a member")
     name = text(raw.get("id"), "id")
+    if not name or set(name) & set(" ,=\r\n"):  # it goes into cache servers' lines
+        raise Malformed(f"not an id: {name[:60]!r}")
     state = STATES.get(text(raw.get("phase"), "phase"), api.State.GONE)
     where = address(raw["host_port"], "host_port") if raw.get("host_port") else None
     if where is None and state is api.State.READY:
@@ -44,7 +68,23 @@
     entry = api.Entry(server_number(name), state, raw.get("locality") or "", raw.get("flavor") or "",
                       whole(raw.get("cell"), "cell"), number(raw.get("size"), "size"),
                       whole(raw.get("up_since_ms"), "up_since_ms") * 1_000)
-    return entry, name, where
+    return Member(entry, name, where)
+
+
+def read_event(raw: Any) -> Event:
+    raw = mapping(raw, "an event")
+    pos, hosts, expire = must_whole(raw.get("pos"), "pos"), raw.get("hosts"), raw.get("expire")
+    members, complete, revision = None, False, 0
+    if hosts is not None:
+        hosts = mapping(hosts, "hosts")
+        members = tuple(read_member(member) for member in sequence(hosts.get("members"), "members"))
+        complete, revision = bool(hosts.get("complete")), whole(hosts.get("revision"), "revision")
+    if expire is None:
+        return Event(pos, members, complete, revision)
+    expire = mapping(expire, "expire")
+    name, group = expire.get("name"), expire.get("set")
+    return Event(pos, members, complete, revision, name if isinstance(name, str) else None,
+                 None if group is None else whole(group, "set"), whole(expire.get("stamp"), "stamp") * 1_000)
 
 
 class Journal:
@@ -56,29 +96,41 @@
         self.heard = 0
         self.address: tuple[str, int] | None = None
         self.feed: Feed | None = None
+        self.dialling: Feed | None = None  # the one connection that may come up
+        self._gap = -1  # the last number before a gap that was asked for again
+        self._wait = AGAIN
         self._listed: set[int] = set()
         self._task: asyncio.Task[None] | None = None
+        self._redial: tuple[int, int] | None = None
+        self._watched = False
 
-    def apply(self, event: Any) -> None:
+    def apply(self, event: Event) -> None:
         """One event; those up to the last number were applied before."""
-        event = mapping(event, "an event")
-        pos = whole(event.get("pos"), "pos")
-        if pos <= self.pos:
+        if event.pos <= self.pos:
             return
-        if event.get("hosts") is not None:
-            self._hosts(mapping(event["hosts"], "hosts"), first=not self._listed)
-        if event.get("expire") is not None:
-            self._expire(mapping(event["expire"], "expire"))
-        self.pos = pos
+        if event.members is not None:
+            self._hosts(event, first=not self._listed)
+        if event.stamp is not None:
+            self.engine.purged(api.Purge(event.object, event.group, self.engine.clock.age(event.stamp)))
+        self.pos = event.pos
         self.engine.stats.count("journal", "events")
 
-    def _hosts(self, raw: dict[str, Any], first: bool) -> None:
-        members = [read_member(member) for member in sequence(raw.get("members"), "members")]
-        entries = [entry for entry, _, _ in members]
-        whole_list = bool(raw.get("complete")) or first
-        for entry, name, where in members:
-            if entry.state is api.State.READY and where is not None:
-                self.caches.known(entry.server, name, *where)
+    def catch_up(self, pos: int, events: list[Event]) -> None:
+        """What a configuration knows: all of it where nothing was heard yet, else what follows without a gap."""
+        first = not self.pos
+        for event in events:
+            if first or event.pos == self.pos + 1:
+                self.apply(event)
+        if first:
+            self.pos = max(self.pos, pos)
+
+    def _hosts(self, event: Event, first: bool) -> None:
+        members = event.members or ()
+        entries = [member.entry for member in members]
+        whole_list = event.complete or first
+        for member in members:
+            if member.entry.state is api.State.READY and member.where is not None:
+                self.caches.known(member.entry.server, member.name, *member.where)
         named = {entry.server for entry in entries}
         if whole_list:  # who is not named any more has gone
             entries += [api.Entry(n, api.State.GONE) for n in sorted(self._listed - named)]
@@ -86,34 +138,53 @@
         self._listed |= {e.server for e in entries if e.state is not api.State.GONE}
         self._listed -= {e.server for e in entries if e.state is api.State.GONE}
         kind = api.ListKind.FULL if whole_list else api.ListKind.CHANGES
-        self.engine.listed(api.ListNews(kind, tuple(entries), whole(raw.get("revision"), "revision")))
-
-    def _expire(self, raw: dict[str, Any]) -> None:
-        age = self.engine.clock.age(whole(raw.get("stamp"), "stamp") * 1_000)
-        name = raw.get("name")
-        group = None if raw.get("set") is None else whole(raw["set"], "set")
-        self.engine.purged(api.Purge(name if isinstance(name, str) else None, group, age))
+        self.engine.listed(api.ListNews(kind, tuple(entries), event.revision))
 
     # --- the connection
 
-    def follow(self, where: tuple[str, int]) -> None:
+    def follow(self, where: tuple[str, int] | None) -> None:
+        """Follow the service at this address, from the last event on; None: none any more. One that is followed
+        elsewhere is left at once, with the dial that may be under way there: it has nothing more to tell."""
+        if where == self.address:
+            return
         self.address = where
-        self._connect()
-        self._watch()
+        if self._task is not None:
+            self._task.cancel()
+        self.engine.deadlines.drop(self._redial)
+        feed, self.feed, self.dialling, self._wait = self.feed, None, None, AGAIN
+        if feed is not None:
+            feed.abort()
+        if where is not None:
+            self._connect()
+        if not self._watched:
+            self._watched = True
+            self._watch()
 
     def _connect(self) -> None:
         self.heard = self.engine.clock.now()
-        self._task = asyncio.get_running_loop().create_task(self._dial())
+        self._task = asyncio.get_running_loop().create_task(self._dial(Feed(self), *self.address))
 
-    async def _dial(self) -> None:
-        host, port = self.address
+    async def _dial(self, feed: Feed, host: str, port: int) -> None:
+        self.dialling = feed
         try:
             async with asyncio.timeout(CONNECT):
-                await asyncio.get_running_loop().create_connection(lambda: Feed(self), host, port)
+                await asyncio.get_running_loop().create_connection(lambda: feed, host, port)
         except OSError as error:  # a time-out is one too
+            if self.dialling is not feed and self.feed is not feed:
+                return  # the service was left meanwhile
             self.log(f"journal: no connection: {error!r}")
             self.engine.stats.count("journal", "not reached")
-            self.engine.deadlines.add(self.engine.clock.now() + AGAIN, self._connect)
+            self.dialling = self.feed = None
+            self._again(self._backed_off())
+
+    def _backed_off(self) -> int:
+        """How long to wait before another try; longer each time that nothing new was told since the last."""
+        wait, self._wait = self._wait, min(AGAIN_MOST, self._wait * 2)
+        return wait
+
+    def _again(self, wait: int) -> None:
+        self.engine.deadlines.drop(self._redial)
+        self._redial = self.engine.deadlines.add(self.engine.clock.now() + wait, self._connect)
 
     def _watch(self) -> None:
         """A connection that is open but silent tells nothing, not even that it is lost."""
@@ -124,14 +195,31 @@
             self.feed.abort()
         self.engine.deadlines.add(now + 100_000, self._watch)
 
+    def told(self, line: bytes) -> None:
+        """One line of the service; Malformed or ValueError where the connection is of no more use."""
+        self.heard = self.engine.clock.now()
+        value = orjson.loads(line)
+        if isinstance(value, int):
+            if value > self.pos:  # events were left out: they are asked for again
+                raise Malformed(f"{value} follows {self.pos}")
+            self._wait = AGAIN
+            return
+        event = read_event(value)
+        if event.pos > self.pos + 1 and self._gap != self.pos:
+            self._gap = self.pos
+            raise Malformed(f"{event.pos} follows {self.pos}")  # what lies between is asked for, once
+        if event.pos > self.pos:
+            self._wait = AGAIN
+        self.apply(event)
+
     def lost(self, feed: Feed) -> None:
         if self.feed is feed:
             self.feed = None
             self.log("journal: connection lost")
             self.engine.stats.count("journal", "lost")
             # At once, but not in a tight loop with a service that takes connections and ends them.
-            wait = 0 if self.engine.clock.now() - feed.since > AGAIN else AGAIN
-            self.engine.deadlines.add(self.engine.clock.now() + wait, self._connect)
+            young = self.engine.clock.now() - feed.since <= AGAIN_MOST
+            self._again(self._backed_off() if young else 0)
 
 
 class Feed(Stream):
@@ -143,9 +231,11 @@
         self.since = 0
 
     def opened(self) -> None:
-        self.since = self.journal.engine.clock.now()
-        self.journal.feed = self
-        self.journal.heard = self.journal.engine.clock.now()
+        if self.journal.dialling is not self:  # given up or left while it came up
+            self.abort()
+            return
+        self.since = self.journal.heard = self.journal.engine.clock.now()
+        self.journal.feed, self.journal.dialling = self, None
         self.write(b"tail %d\n" % self.journal.pos)
 
     def ended(self) -> None:
@@ -156,14 +246,8 @@
         done = data.rfind(b"\n") + 1
         self.inbound.skip(done)
         for line in data[:done].splitlines():
-            self.journal.heard = self.journal.engine.clock.now()
             try:
-                value = orjson.loads(line)
-                if isinstance(value, int):
-                    if value > self.journal.pos:  # events were left out: they are asked for again
-                        raise Malformed(f"{value} follows {self.journal.pos}")
-                    continue
-                self.journal.apply(value)
+                self.journal.told(line)
             except (ValueError, Malformed) as error:
                 self.journal.log(f"journal: {error}")
                 self.journal.engine.stats.count("malformed", "journal")
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -222,14 +222,18 @@
     """The core's `Caches` port on sockets."""
 
     def __init__(self, engine: Engine, limits: Limits, log: Callable[[str], None]) -> None:
-        self.engine, self.log, self.limits = engine, log, limits
-        self.streams = limits.streams
-        self.idle_time = int(limits.idle * IDLE_SHARE)
+        self.engine, self.log = engine, log
+        self.limit(limits)
         self.servers: dict[int, Server] = {}
         self.sendings: dict[int, Sending] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._tidy()
 
+    def limit(self, limits: Limits) -> None:
+        """What the site and the machine allow from now on."""
+        self.limits, self.streams = limits, limits.streams
+        self.idle_time = int(limits.idle * IDLE_SHARE)
+
     def _tidy(self) -> None:
         """Close what has been idle for long before the peer does: a request that crosses its close is lost."""
         now = self.engine.clock.now()
--- a/threadhill/net/serve.py
+++ b/threadhill/net/serve.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
+from collections.abc import Mapping
 
 import orjson
 
 from threadhill.admin.api import Api
 from threadhill.admin.http import HttpConnection
-from threadhill.config import AdminConfig, BadConfig, Config, Operator
+from threadhill.config import AdminConfig, BadConfig, Config, Operator, load
 from threadhill.core.clock import Clock
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.engine import Engine
@@ -62,18 +64,15 @@
 
     async def run(self) -> None:
         """Serve until told to stop and all that was taken is answered."""
+        # First of all: a signal that nobody handles ends the process.
+        for signum, handle in ((signal.SIGTERM, self.leave), (signal.SIGINT, self.leave),
+                               (signal.SIGUSR1, self.report), (signal.SIGHUP, self.reload)):
+            self.loop.add_signal_handler(signum, handle)
         self.engine.start(self.caches)
-        pos, entries = self.config.known
-        for event in entries:
-            self.journal.apply(event)
-        self.journal.pos = max(self.journal.pos, pos)
-        if self.config.journal is not None:
-            self.journal.follow(self.config.journal)
+        self.journal.catch_up(*self.config.known)
+        self.journal.follow(self.config.journal)
         host, port = self.config.listen
         server = await self.loop.create_server(lambda: self.front(), host, port, backlog=512)
-        self.loop.add_signal_handler(signal.SIGTERM, self.leave)
-        self.loop.add_signal_handler(signal.SIGINT, self.leave)
-        self.loop.add_signal_handler(signal.SIGUSR1, self.report)
         self.engine.tenants.replace(list(self.operator.tenants))
         if self.operator.dns is not None:
             await self._serve_dns(self.operator.dns)
@@ -97,6 +96,24 @@
         host, port = server.sockets[0].getsockname()[:2]
         log(f"admin: serving on {host}:{port}")
 
+    def reload(self, environ: Mapping[str, str] = os.environ) -> None:
+        """SIGHUP: the file is read and checked whole before anything changes; a bad one changes nothing. Journal
+        and limits move at once; what stands for the process itself, or shapes the module, takes a restart."""
+        try:
+            new = load(environ)
+        except BadConfig as error:
+            self.stats.count("reload", "refused")
+            log(f"reload: {error}; everything stays as it is")
+            return
+        old, self.config = self.config, new
+        later = [key for key in ("name", "listen", "settings") if getattr(old, key) != getattr(new, key)]
+        self.caches.limit(new.limits)
+        self.front.most = new.clients
+        self.journal.catch_up(*new.known)
+        self.journal.follow(new.journal)
+        self.stats.count("reload", "done")
+        log("reload: done" + (f"; {', '.join(later)} take a restart" if later else ""))
+
     def leave(self) -> None:
         """SIGTERM: clients still come for a while, and all that is taken is answered before the end."""
         if not self._leaving:
--- a/threadhill/settings.py
+++ b/threadhill/settings.py
@@ -68,6 +68,15 @@
     return value
 
 
+def address(value: Any, what: str) -> tuple[str, int]:
+    """`host:port`; a host in brackets is IPv6."""
+    host, colon, port = text(value, what).rpartition(":")
+    # isdigit alone takes digits that int refuses, as superscripts are.
+    if not colon or not (port.isascii() and port.isdigit()) or len(port) > 5 or int(port) >= 65_536:
+        raise Malformed(f"{what} is not host:port: {value!r}")
+    return host.strip("[]"), int(port)
+
+
 def one_of(table: dict[Any, Any], value: Any, what: str) -> Any:
     """A named value."""
     if not isinstance(value, str) or value not in table:
