--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,92 @@
+"""What the running program can't be brought to do from outside: faults within, and figures on their way in."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.script import CACHES, SETTINGS, cache
+from threadhill import interface as api
+from threadhill.core.clock import Clock
+from threadhill.core.deadlines import Deadlines
+from threadhill.core.engine import Engine
+from threadhill.core.ports import Answer, Ask, Final
+from threadhill.log import BURST, Log
+from threadhill.net.lines import read_report
+from threadhill.stats import Stats
+
+
+@pytest.mark.parametrize("figure", ["nan", "inf", "-1", "1e999", "1_0", "\u0662", "", "x", "99999999"])
+def test_figures_that_cannot_be_do_not_reach_the_module(figure: str) -> None:
+    report = read_report(f"inflight:{figure};util:0.5;x9:1;x0:1.0;x1:2e-05")
+    assert report == {"util": 0.5, "hits": 1.0, "link": 2e-05}
+
+
+def test_a_deadline_that_fails_holds_up_no_other() -> None:
+    armed: list[int | None] = []
+    faults: list[Exception] = []
+    done: list[int] = []
+    deadlines = Deadlines(armed.append, faults.append)
+    deadlines.add(1, lambda: 1 // 0)
+    deadlines.add(2, lambda: done.append(2))
+    deadlines.add(9, lambda: done.append(9))
+    deadlines.sweep(5)
+    assert done == [2] and len(faults) == 1 and armed[-1] == 9
+
+
+class Front:
+    def __init__(self) -> None:
+        self.answers: list[Answer] = []
+
+    def answer(self, ref: int, answer: Answer) -> None:
+        self.answers.append(answer)
+
+
+class Quiet:
+    """Caches that take all and answer nothing."""
+
+    def send(self, attempt: int, order: object) -> None:
+        pass
+
+    def drop(self, attempt: int) -> bool:
+        return True
+
+    def listed(self, entries: list[api.Entry]) -> None:
+        pass
+
+
+def engine() -> Engine:
+    def fault(error: Exception) -> None:
+        raise error
+
+    made = Engine(SETTINGS, 1, Clock(), Deadlines(lambda when: None, fault), Stats(), lambda text: None)
+    made.start(Quiet())
+    made.listed(api.ListNews(api.ListKind.FULL, tuple(cache(number) for number in CACHES)))
+    return made
+
+
+def test_a_fault_in_the_module_costs_the_one_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    made, front = engine(), Front()
+    good = made.router.handle
+    monkeypatch.setattr(made.router, "handle", lambda now, event: 1 // 0 if "bad" in str(event) else good(now, event))
+    made.ask(front, 1, Ask("1", "reads", "bad", 1_000_000))
+    made.ask(front, 2, Ask("2", "reads", "good", 1_000_000))
+    assert [answer.final for answer in front.answers] == [Final.FAILED]
+    assert len(made.requests) == 1 and len(made.router.jobs) == 1
+
+
+def test_a_request_that_is_over_leaves_no_timer_behind() -> None:
+    made, front = engine(), Front()
+    for i in range(100):
+        made.gone(made.ask(front, i, Ask(str(i), "reads", "thing", 5_000_000)))
+    assert len(made.deadlines) == 0 and not made.router.jobs and not made.router.filling
+
+
+def test_the_log_leaves_out_what_is_too_much_and_says_so(capsys: pytest.CaptureFixture[str]) -> None:
+    now = [0.0]
+    log = Log(lambda: now[0])
+    for i in range(1_000):
+        log(f"line {i}")
+    now[0] = 10.0
+    log("later")
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == BURST + 2 and lines[-2:] == [f"{1_000 - int(BURST)} lines left out", "later"]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -41,6 +41,7 @@
     async def scene(w: World) -> None:
         client = await w.client()
         assert (await client.get("license-buy", b"x" * 48_000, token="5c0f6e1a"))[0] == "200"
+        assert (await client.get("license-buy", b"x"))[0] == "500"  # without its key it must not be repeated
         (ask,) = w.origin.asked
         assert (ask["replay"], len(ask["body"]), "rank" in ask, "from" in ask) == ("5c0f6e1a", 48_000, False, False)
 
@@ -353,6 +354,12 @@
        b"*2\r\n$4\r\nEVAL\r\n$1\r\n1\r\n", b"*-1\r\n", b"$5\r\nhello\r\n", b"\x00" * 100]
 
 
+UNUSABLE = [{"rid": "x"}, {"obj": "zz"}, {"budget": "soon"}, {"budget": "\u0662"}, {"budget": "1_0"}, {"n": -1},
+            {"n": "\u00b2"}, {"mem": "nan"}, {"mem": "inf"}, {"mem": -1}, {"mem": "1e400"}, {"shard": 256},
+            {"shard": "9" * 30}, {"again": "yes"}, {"token": "a b"}, {"token": "a=b"}, {"mine": "a\r\ndo"},
+            {"mine": "a,rid=9b1f03aa5c7e2d41"}, {"acct": "a b"}]
+
+
 def test_bad_bytes_get_an_error_and_a_closed_connection(tmp_path: Path) -> None:
     async def scene(w: World) -> None:
         for raw in BAD:
@@ -361,9 +368,10 @@
             assert (await reader.read()).startswith(b"-ERR "), raw
             writer.close()
         client = await w.client()
-        for bad in ({"rid": "x"}, {"obj": "zz"}, {"budget": "soon"}, {"n": -1}):
-            assert (await client.get(**bad))[0] == "500"
+        for bad in UNUSABLE:
+            assert (await client.get(**bad))[0] == "500", bad
         assert (await client.get("no-such-class"))[0] == "500"
+        assert (await client.get("art-pages", b"a body"))[0] == "500"
         assert (await client.get())[0] == "200" and len(w.asked()) == 1
 
     play(tmp_path, scene)
@@ -397,3 +405,183 @@
         assert pages * 4096 < 100 << 20
 
     play(tmp_path, scene)
+
+
+async def ended(reader: asyncio.StreamReader) -> bytes:
+    """What comes until the connection ends, with a reset or without."""
+    raw = b""
+    try:
+        while more := await reader.read(1 << 16):
+            raw += more
+    except ConnectionError:
+        pass
+    return raw
+
+
+def test_who_says_nothing_shuts_nobody_out(tmp_path: Path) -> None:
+    """Guards against connections that are opened by the hundred and say nothing, or half a message: they are ended in
+    time, and make room at once. Who asked once keeps its connection while there is room."""
+
+    async def scene(w: World) -> None:
+        kept = await w.client()
+        assert (await kept.get())[0] == "200"
+        silent = [await asyncio.open_connection("127.0.0.1", w.port) for _ in range(200)]
+        half = await w.client()
+        half.writer.write(b"*5\r\n$3\r\nASK\r\n$1\r\n1\r\n")
+        usual = [await w.client() for _ in range(20)]
+        assert [(await client.get())[0] for client in usual] == ["200"] * 20
+        for reader, writer in silent:
+            await asyncio.wait_for(ended(reader), 30)
+            writer.close()
+        await asyncio.wait_for(half.task, 30)
+        assert (await kept.get())[0] == "200" and (await usual[0].get())[0] == "200"
+
+    play(tmp_path, scene, sockets=96)
+
+
+def test_connections_that_asked_once_and_stay_make_room(tmp_path: Path) -> None:
+    """Guards against a table full of connections that nothing is open on: a new client's request was reset."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None if ask["nth"] == "1" else Box.serve_it(ask)
+        asking = await w.client()
+        open = asking.ask(n=1, budget=60_000)
+        await until(w.asked)
+        for _ in range(100):
+            assert (await (await w.client()).get())[0] == "200"
+        assert open not in asking.answers and not asking.task.done()  # who is owed an answer is not turned out
+
+    play(tmp_path, scene, sockets=96)
+
+
+def test_more_requests_than_a_connection_may_have_open_are_refused_at_once(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None
+        client = await w.client()
+        tags = [client.ask(n=n, budget=60_000) for n in range(300)]
+        await until(lambda: len(client.answers) >= 268, "the refusals")
+        assert {client.answers[tag][:2][0] for tag in client.answers} == {"503"}
+        for tag in tags:
+            client.send("NEVERMIND", tag)
+        for box in w.boxes:
+            box.behave = Box.serve_it
+        await until(lambda: sum(len(box.undone) for box in w.boxes) or not any(box.writers for box in w.boxes))
+        await until(lambda: w.counted("client_gone", "art-pages"), "the requests to be taken back")
+        assert (await (await w.client()).get(obj="00000000000000aa"))[0] in ("200", "503")
+
+    play(tmp_path, scene)
+
+
+def test_the_id_of_an_open_request_is_not_taken_again(tmp_path: Path) -> None:
+    """Guards against two requests that no cache server's line could tell apart."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None
+        one, other = await w.client(), await w.client()
+        one.ask(rid="00000000000000aa", budget=60_000)
+        await until(w.asked)
+        assert (await other.get(rid="00000000000000aa", obj="00000000000000ff"))[0] == "500"
+        one.ask(rid="00000000000000aa", obj="00000000000000ff")
+        await asyncio.wait_for(one.task, 30)  # its connection is ended
+        assert len(w.asked()) == 1
+
+    play(tmp_path, scene)
+
+
+SPOILT = [b"\x80\xff\x00noise\r\n", b"%s ok ver=a,born=1 3000000000\r\n" + b"x" * 5_000, b"%s ok - \xc2\xb2\r\n",
+          b"%s ok ver=a,born=1 3\r\nlonger\r\n", b"%s ok ver=a,born=1 -5\r\n", b"x" * 9_000, b"%s ok\r\n",
+          b"%s ok ver 3\r\nabc\r\n", b"%s fine ver=a 3\r\nabc\r\n"]
+
+
+@pytest.mark.parametrize("raw", SPOILT)
+def test_a_spoilt_answer_ends_its_connection_and_is_not_passed_on(tmp_path: Path, raw: bytes) -> None:
+    """Guards against a parser that throws, waits or passes on what it cannot have understood."""
+
+    async def scene(w: World) -> None:
+        def spoil(ask: dict[str, str]) -> None:
+            w.origin.behave = Box.serve_it
+            for writer in w.origin.writers:
+                writer.write(raw.replace(b"%s", ask["id"].encode()))
+
+        w.origin.behave = spoil
+        client = await w.client()
+        word, _, body = await client.get("license-buy", b"x", token="a", budget=30_000)
+        assert (word, body) == ("200", f"{OBJECT}/0".encode()) and len(w.origin.asked) == 2
+        assert w.counted("fault", "server") == 0 and "Traceback" not in w.log
+
+    play(tmp_path, scene)
+
+
+def test_an_answer_that_stops_short_takes_no_other_with_it(tmp_path: Path) -> None:
+    """Guards against a connection on which an answer never ends: what comes behind it was taken for its rest."""
+
+    async def scene(w: World) -> None:
+        def stop(ask: dict[str, str]) -> None:
+            w.origin.behave = Box.serve_it
+            for writer in w.origin.writers:
+                writer.write(f"{ask['id']} ok ver=a,born=1 5000\r\nnot all of it".encode())
+
+        w.origin.behave = stop
+        client = await w.client()
+        assert (await client.get("license-buy", b"x", token="a", budget=1_500))[0] in ("500", "503")
+        assert (await client.get("license-buy", b"x", token="b", budget=30_000))[0] == "200"
+
+    play(tmp_path, scene)
+
+
+def test_a_second_copy_of_an_answer_ends_no_later_attempt(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        def twice(ask: dict[str, str]) -> None:
+            w.origin.behave = Box.serve_it
+            for writer in w.origin.writers:
+                writer.write(f"00000000000000bb ok - 0\r\n\r\n{ask['id']} refused - 0\r\n\r\n".encode() * 2)
+
+        w.origin.behave = twice
+        client = await w.client()
+        assert (await client.get("license-buy", b"x", token="a"))[0] == "200"
+        assert len(w.origin.asked) == 2 and w.counted("malformed", "server") == 0
+
+    play(tmp_path, scene)
+
+
+def test_servers_that_have_gone_take_no_share_of_the_connections(tmp_path: Path) -> None:
+    """Guards against a table that grows with every server there ever was, and shrinks what the others get."""
+
+    async def scene(w: World) -> None:
+        for i in range(60):
+            member = w.caches[0].member() | {"id": f"s-00001{i:03x}"}
+            w.journal.hosts(member)
+            w.journal.hosts(member | {"phase": "DELETED"})
+        await w.told()
+        w.origin.behave = lambda ask: None
+        client = await w.client()
+        for i in range(10):
+            client.ask("license-buy", b"x", token=f"t{i}", budget=60_000)
+        await until(lambda: len(w.origin.asked) == 10)
+        assert len(w.origin.writers) == 4
+
+    play(tmp_path, scene, sockets=256)
+
+
+def test_sigterm_is_not_held_up_by_a_client_that_does_not_read_or_by_a_flood(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: ("ok", "ver=a,born=1", b"x" * 200_000)
+        dead = await w.client()
+        dead.task.cancel()
+        dead.writer.transport.pause_reading()
+        for n in range(32):
+            dead.ask(n=n)
+        await until(lambda: w.counted("sent", "art-pages") >= 8)
+        flood = await w.client()
+        w.process.send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        while w.process.returncode is None and time.monotonic() < began + 30:
+            flood.ask(obj="00000000000000aa")
+            await asyncio.sleep(0.01)
+        assert w.process.returncode == 0
+
+    play(tmp_path, scene)
--- a/threadhill/admin/http.py
+++ b/threadhill/admin/http.py
@@ -9,12 +9,11 @@
 
 import orjson
 
-from threadhill.core.deadlines import Deadlines
-from threadhill.net.stream import Stream
+from threadhill.net.door import Door, Guest
 
 HEAD = 8 << 10  # bytes of a request's line and headers at most
 BODY = 1 << 20
-IDLE = 10_000_000  # microseconds in which a whole request must come
+IDLE = 10_000_000  # microseconds without a request after which a connection is closed
 REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found",
            405: "Method Not Allowed", 409: "Conflict", 411: "Length Required", 413: "Content Too Large",
            422: "Unprocessable Content", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
@@ -68,36 +67,33 @@
     return words[0], words[1], headers
 
 
-class HttpConnection(Stream):
+class HttpConnection(Guest):
     """One connection; requests follow each other, a pipelined one waits its turn."""
 
-    def __init__(self, token: str, handler: Handler, deadlines: Deadlines, now: Callable[[], int]) -> None:
-        super().__init__(HEAD + BODY, 4 << 20)
-        self._token, self._handler, self._deadlines, self._now = token, handler, deadlines, now
+    idle = IDLE
+
+    def __init__(self, token: str, handler: Handler, door: Door) -> None:
+        super().__init__(door, HEAD + BODY, 4 << 20)
+        self._token, self._handler = token, handler
         self._head: tuple[str, str, dict[str, str]] | None = None
         self._length = 0
-        self._timer: tuple[int, int] | None = None
-
-    def opened(self) -> None:
-        self._wait()
 
-    def ended(self) -> None:
-        self._deadlines.drop(self._timer)
+    def owed(self) -> bool:
+        return self.backlog() > 0
 
-    def _wait(self) -> None:
-        self._deadlines.drop(self._timer)
-        self._timer = self._deadlines.add(self._now() + IDLE, self.abort)
+    def midway(self) -> bool:
+        return not self.slow and (len(self.inbound) > 0 or self._head is not None)
 
     def parse(self) -> None:
         try:
             while not self._closing and not self.slow and self._next():
-                self._wait()
+                self.spoken()
         except Problem as problem:  # how far the faulty request reaches is not known: nothing after it is read
             self._send(problem.status, problem.body, keep=False, linger=True)
 
     def backlog_changed(self) -> None:
         if self.transport is not None and not self.slow and len(self.inbound):
-            self.parse()
+            self.turn()
 
     def _next(self) -> bool:
         """Answer one request if it is whole."""
@@ -158,6 +154,6 @@
             lines.append("Connection: close")
         self.write("\r\n".join(lines).encode() + b"\r\n\r\n", raw)
         if linger:
-            self.linger(self._deadlines, self._now())
+            self.linger()
         elif not keep:
             self.close()
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -17,9 +17,13 @@
 from threadhill.dns.front import DnsConfig
 from threadhill.dns.message import labels_of
 from threadhill.net.journal import Event, read_event
-from threadhill.net.lines import Limits
+from threadhill.net.lines import WIRE, Limits
 from threadhill.settings import Malformed, address, mapping, read_settings, sequence, text, whole
 
+PROGRAM = 26  # MB that the program takes by itself
+LEAST_SPARE = 6  # MB beside it that are counted on, whatever the limit
+OUTBOUND_SHARE = 0.3  # part of what is left for answers that wait for clients
+INBOUND_SHARE = 0.4  # the same for answers that come from cache servers
 LEFT_FREE = 48  # descriptors for the journal, listeners, dials under way and the like
 
 
@@ -39,6 +43,7 @@
     journal: tuple[str, int] | None
     limits: Limits
     clients: int  # connections that clients may hold
+    outbound: int  # bytes that may wait for all of them together
 
 
 def read_config(raw: Any, environ: Mapping[str, str]) -> Config:
@@ -46,7 +51,9 @@
     raw = mapping(raw, "the configuration")
     options = mapping(raw.get("settings"), "settings")
     site = mapping(options.get("limits"), "limits")
-    sockets = whole(mapping(raw.get("limits"), "limits").get("sockets"), "sockets") or 1_024
+    machine = mapping(raw.get("limits"), "limits")
+    sockets = whole(machine.get("sockets"), "sockets") or 1_024
+    spare = max(LEAST_SPARE, (whole(machine.get("memory_mb"), "memory_mb") or 192) - PROGRAM) << 20
     clients = sockets // 3 + 16
     known = mapping(raw.get("known"), "known")
     seed = raw.get("seed") or "0"
@@ -59,12 +66,13 @@
                [read_event(event) for event in sequence(known.get("entries"), "known.entries")]),
         journal=address(raw["journal"], "journal") if raw.get("journal") else None,
         limits=Limits(
-            descriptors=max(16, sockets - clients - LEFT_FREE),
+            descriptors=max(16, min(sockets - clients - LEFT_FREE, int(spare * INBOUND_SHARE) // WIRE)),
             streams=whole(site.get("max-streams"), "max-streams") or 32,
             idle=whole(site.get("conn-idle"), "conn-idle") or 30_000_000,
             connect_timeout=whole(site.get("connect-timeout"), "connect-timeout") or 400_000,
         ),
         clients=clients,
+        outbound=int(spare * OUTBOUND_SHARE),
     )
 
 
--- a/threadhill/core/deadlines.py
+++ b/threadhill/core/deadlines.py
@@ -10,10 +10,11 @@
 
 
 class Deadlines:
-    """What is to happen when; `arm` is called with the time of a new head, None when nothing is left."""
+    """What is to happen when; `arm` is called with the time of a new head, None when nothing is left. An exception
+    goes to `fault`: one thing that fails must not keep the others from being done, nor the timer from being armed."""
 
-    def __init__(self, arm: Callable[[int | None], None]) -> None:
-        self._arm = arm
+    def __init__(self, arm: Callable[[int | None], None], fault: Callable[[Exception], None]) -> None:
+        self._arm, self._fault = arm, fault
         self._entries: SortedDict = SortedDict()  # (when, number) -> what to do
         self._number = 0
         self._armed: int | None = None
@@ -58,7 +59,11 @@
             key = self._entries.keys()[0]
             if key[0] > now:
                 break
-            self._entries.pop(key)()
+            due = self._entries.pop(key)
+            try:
+                due()
+            except Exception as error:
+                self._fault(error)
 
     def _set(self, when: int | None) -> None:
         self._armed = when
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -28,6 +29,7 @@
     ask: Ask
     sent: int = 0  # attempts so far
     out: list[int] = field(default_factory=list)  # handles of those under way
+    timer: tuple[int, int] | None = None  # the module's, under the request's own id
 
 
 @dataclass(slots=True)
@@ -84,11 +86,17 @@
         request = self.requests.free(handle)
         if request is None:
             return
+        self.deadlines.drop(request.timer)
         self.stats.count("client_gone", request.ask.cls)
         self._events.append(api.ClientGone(str(handle)))
         self._undo_all(request)
         self._pump()
 
+    def end_all(self) -> None:
+        """The program ends: who still waits hears so."""
+        for handle, _ in self.requests.live():
+            self._finish(handle, Answer(Final.FAILED))
+
     # --- what caches and the journal call
 
     def ended(self, handle: int, end: Ended) -> None:
@@ -132,10 +140,23 @@
         self._busy = True
         try:
             while self._events:
-                self._act(self.router.handle(self.clock.now(), self._events.popleft()))
+                event = self._events.popleft()
+                try:
+                    self._act(self.router.handle(self.clock.now(), event))
+                except Exception as error:
+                    self._fault(event, error)
         finally:
             self._busy = False
 
+    def _fault(self, event: api.Event, error: Exception) -> None:
+        """A fault in the module, or in what its actions call, costs the one request that the event is about."""
+        self.stats.count("fault", type(event).__name__)
+        self._log(f"fault on {event}: {''.join(traceback.format_exception(error))}")
+        id = getattr(event, "id", "")
+        if id and not isinstance(event, api.ClientGone):
+            self._finish(int(id), Answer(Final.FAILED))
+            self._events.append(api.ClientGone(id))
+
     def _act(self, actions: list[api.Action]) -> None:
         for action in actions:
             match action:
@@ -160,7 +181,10 @@
                     self.stats.count("ignored", type(action).__name__)
 
     def _timer(self, delay: int, token: str) -> None:
-        self.deadlines.add(self.clock.now() + delay, lambda: self._take(api.TimerDue(token)))
+        key = self.deadlines.add(self.clock.now() + delay, lambda: self._take(api.TimerDue(token)))
+        request = self.requests.get(int(token)) if token.isdigit() else None
+        if request is not None:  # it is taken back with the request: most end long before
+            request.timer = key
 
     def _send(self, id: str, server: int, limit: int, source: int, age: int, mode: api.FillMode,
               keep: int) -> None:
@@ -215,6 +239,7 @@
         request = self.requests.free(handle)
         if request is None:
             return
+        self.deadlines.drop(request.timer)
         self.stats.count(answer.final.value, request.ask.cls)
         request.front.answer(request.ref, answer)
         self._undo_all(request)
--- a/threadhill/dns/transport.py
+++ b/threadhill/dns/transport.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import struct
+from collections.abc import Callable
 from typing import Any
 
 from threadhill.dns.front import DnsFront
-from threadhill.net.stream import Stream
+from threadhill.net.door import Door, Guest
 
 MOST = 4 << 10  # bytes of a query at most: names and an OPT are far smaller
 OUTBOUND = 64 << 10
@@ -33,37 +34,27 @@
         self.front.engine.stats.count("dns", "unreachable")
 
 
-class Tcp(Stream):
+class Tcp(Guest):
     """One connection; queries may follow each other without waiting, answers come as they are ready."""
 
-    def __init__(self, front: DnsFront, connections: set[Tcp]) -> None:
-        super().__init__(MOST + 2, OUTBOUND)
-        self.front, self.connections = front, connections
-        self.open: set[int] = set()
-        self._last = 0
-        self._idle: tuple[int, int] | None = None
+    idle = IDLE
 
-    def opened(self) -> None:
-        if len(self.connections) >= self.front.config.connections:
-            self.abort()
-            return
-        self.connections.add(self)
-        self._last = self.front.engine.clock.now()
-        self._watch()
+    def __init__(self, front: DnsFront, door: Door) -> None:
+        super().__init__(door, MOST + 2, OUTBOUND)
+        self.front = front
+        self.open: set[int] = set()
+        self._reading = True
 
-    def ended(self) -> None:
-        self.connections.discard(self)
-        self.front.engine.deadlines.drop(self._idle)
+    def left(self) -> None:
         for ref in self.open:
             self.front.forget(ref)
         self.open.clear()
 
-    def _watch(self) -> None:
-        """Close what has asked nothing for long, a length without its message included."""
-        if self.front.engine.clock.now() - self._last >= IDLE and not self.open:
-            self.abort()
-        else:
-            self._idle = self.front.engine.deadlines.add(self._last + IDLE, self._watch)
+    def owed(self) -> bool:
+        return bool(self.open) or self.backlog() > 0
+
+    def midway(self) -> bool:
+        return self._reading and len(self.inbound) > 0
 
     def parse(self) -> None:
         while not self._closing and not self.slow and len(self.open) < OPEN and len(self.inbound) >= 2:
@@ -74,8 +65,9 @@
                 return
             if len(self.inbound) < size + 2:
                 return
-            self._last = self.front.engine.clock.now()
+            self.spoken()
             self._take(self.inbound.take(size + 2)[2:])
+        self._throttle()
 
     def _take(self, raw: bytes) -> None:
         refs: list[int] = []
@@ -84,6 +76,7 @@
             self.open.difference_update(refs)
             if self.transport is not None and not self.write(struct.pack("!H", len(response)), response):
                 self.abort()
+            self._throttle()
 
         ref = self.front.take(raw, reply, stream=True)
         if ref is not None:
@@ -91,21 +84,31 @@
             self.open.add(ref)
 
     def backlog_changed(self) -> None:
-        if self.transport is None or self._closing:
+        self._throttle()
+
+    def _throttle(self) -> None:
+        """Read on while there is room for answers: what is not taken must not fill the ring."""
+        reading = not self.slow and len(self.open) < OPEN
+        if reading == self._reading or self.transport is None or self._closing:
             return
-        if self.slow:
-            self.transport.pause_reading()
-        else:
+        self._reading = reading
+        if reading:
             self.transport.resume_reading()
-            self.parse()
+            asyncio.get_running_loop().call_soon(self._resume)
+        else:
+            self.transport.pause_reading()
+
+    def _resume(self) -> None:
+        if self.transport is not None and not self._closing:
+            self.turn()
 
 
 class DnsServer:
     """Both transports on one address."""
 
-    def __init__(self, front: DnsFront) -> None:
+    def __init__(self, front: DnsFront, log: Callable[[str], None]) -> None:
         self.front = front
-        self.connections: set[Tcp] = set()
+        self.door = Door(front.engine, "dns client", front.config.connections, lambda door: Tcp(front, door), log)
 
     async def listen(self) -> str:
         """Listen; where the port is 0, TCP takes the one that UDP was given."""
@@ -115,7 +118,7 @@
             udp, _ = await loop.create_datagram_endpoint(lambda: Udp(self.front), local_addr=(host, port))
             given = udp.get_extra_info("sockname")[1]
             try:
-                await loop.create_server(lambda: Tcp(self.front, self.connections), host, given)
+                await self.door.listen(host, given)
                 break
             except OSError:  # a port that is free for UDP may be in use for TCP: another is asked for
                 udp.close()
--- /dev/null
+++ b/threadhill/net/door.py
@@ -0,0 +1,201 @@
+"""Where peers come in: every front listens through a `Door`, which bounds what connections may cost.
+
+A connection that never says anything, or stops in the middle of a message, is ended in time. When the door is full,
+who never said anything makes room first, then who has been idle the longest; who is owed an answer never does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+
+from threadhill.core.engine import Engine
+from threadhill.net.stream import Stream
+
+TURN = 16  # connections taken in a turn: what has come on others is read in between
+BACKLOG = 512  # connections that wait in the kernel
+SILENT = 2_200_000  # microseconds in which a first message, or one that has begun, must be whole
+LINGER = 1_000_000  # microseconds in which a peer may read why it is thrown out
+YOUNG = 100_000  # microseconds in which nobody new is turned out: its first message may be on the way
+IDLE = 1_000_000  # microseconds without a message after which one with nothing open may be turned out
+LOOK = 250_000  # microseconds between looks for those that are silent
+FULL_AGAIN = 10_000  # microseconds until the door looks again for room
+SHORT_AGAIN = 100_000  # the same when the machine has no descriptors or memory left
+
+
+class Guest(Stream):
+    """A connection that a peer has opened. Subclasses call `spoken` for each whole message."""
+
+    idle = 0  # microseconds without a message after which one with nothing open is ended; 0: never
+
+    def __init__(self, door: Door, most_in: int, most_out: int) -> None:
+        super().__init__(most_in, most_out)
+        self.door = door
+        self.since = self.last = door.engine.clock.now()
+        self.messages = 0
+        self.out_at = 0  # when it is aborted, after it was thrown out
+        self._began: tuple[int, int] | None = None  # when a message was seen under way, and which one
+
+    def opened(self) -> None:
+        self.door.guests[self] = None
+        self.door.engine.stats.count(self.door.name, "opened")
+
+    def ended(self) -> None:
+        if self.door.guests.pop(self, self) is None:
+            self.door.engine.stats.count(self.door.name, "closed")
+        self.left()
+
+    def spoken(self) -> None:
+        self.messages += 1
+        self.last = self.door.engine.clock.now()
+
+    def fault(self, trace: str) -> None:
+        self.door.fault(trace)
+
+    def linger(self) -> None:
+        """End with an error that the peer can still read: closing over bytes not read yet would reset it away."""
+        self._closing = True
+        self.inbound.skip(len(self.inbound))
+        self.wanted = 1
+        if self.transport is not None:
+            self.transport.resume_reading()
+            if not len(self.outbound):
+                self.transport.write_eof()
+        self.out_at = self.door.engine.clock.now() + LINGER
+
+    def overdue(self, now: int) -> bool:
+        """Whether it said nothing, or not all of a message, for too long."""
+        if self.out_at:
+            return now >= self.out_at
+        if not self.messages:
+            return now - self.since >= SILENT
+        if self.idle and now - self.last >= self.idle and not self.owed():
+            return True
+        if not self.midway():
+            self._began = None
+        elif self._began is None or self._began[1] != self.messages:
+            self._began = now, self.messages
+        return self._began is not None and now - self._began[0] >= SILENT
+
+    # --- for the subclasses
+
+    def left(self) -> None:
+        """The peer is gone."""
+
+    def owed(self) -> bool:
+        """Whether the peer is owed an answer."""
+        return False
+
+    def midway(self) -> bool:
+        """Whether a message has begun that is not whole, through no fault of this side."""
+        return len(self.inbound) > 0
+
+
+class Door:
+    """One listener, and all who came in by it."""
+
+    def __init__(self, engine: Engine, name: str, most: int, make: Callable[[Door], Guest],
+                 log: Callable[[str], None]) -> None:
+        self.engine, self.name, self.most, self._make, self._log = engine, name, most, make, log
+        self.guests: dict[Guest, None] = {}
+        self._coming: set[asyncio.Task[None]] = set()
+        self._socket: socket.socket | None = None
+        self._loop = asyncio.get_running_loop()
+
+    async def listen(self, host: str, port: int) -> int:
+        """Listen there; the port."""
+        found = await self._loop.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
+        family, kind, proto, _, where = found[0]
+        self._socket = socket.socket(family, kind, proto)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self._socket.bind(where)
+        except OSError:
+            self._socket.close()
+            raise
+        self._socket.listen(BACKLOG)
+        self._open()
+        self._look()
+        return self._socket.getsockname()[1]
+
+    def fault(self, trace: str) -> None:
+        self.engine.stats.count("fault", self.name)
+        self._log(f"{self.name}: {trace}")
+
+    def shut(self) -> None:
+        """Take nobody any more; who came in stays."""
+        if self._socket is not None:
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def _open(self) -> None:
+        if self._socket is not None:
+            self._loop.add_reader(self._socket, self._come)
+
+    def _pause(self, wait: int) -> None:
+        """Whoever comes waits in the kernel's queue."""
+        self._loop.remove_reader(self._socket)
+        self.engine.deadlines.add(self.engine.clock.now() + wait, self._open)
+
+    def _come(self) -> None:
+        for _ in range(TURN):
+            if self._socket is None:
+                return
+            if len(self.guests) + len(self._coming) >= self.most and not self._make_room():
+                self._pause(FULL_AGAIN)
+                return
+            try:
+                peer, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    raise
+                self._log(f"{self.name}: nobody taken for a while: {error}")
+                self._pause(SHORT_AGAIN)
+                return
+            peer.setblocking(False)
+            task = self._loop.create_task(self._welcome(peer))
+            self._coming.add(task)
+            task.add_done_callback(self._coming.discard)
+
+    async def _welcome(self, peer: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(lambda: self._make(self), peer)
+        except OSError:  # gone again already
+            peer.close()
+
+    def _make_room(self) -> bool:
+        """End one connection that nothing is lost with: there must always be room for who really asks."""
+        now = self.engine.clock.now()
+
+        def rank(guest: Guest) -> tuple[int, int] | None:
+            if guest.out_at:
+                return 0, guest.out_at
+            if not guest.messages:
+                return (1, guest.since) if now - guest.since >= YOUNG else None
+            return (2, guest.last) if now - guest.last >= IDLE and not guest.owed() else None
+
+        ranked = [(place, i, guest) for i, guest in enumerate(self.guests) if (place := rank(guest)) is not None]
+        if not ranked:
+            return False
+        (kind, _), _, guest = min(ranked)
+        self.engine.stats.count(self.name, "turned out")
+        del self.guests[guest]  # its descriptor is closed in the next turn
+        if kind == 2:
+            guest.close()
+        else:
+            guest.abort()
+        return True
+
+    def _look(self) -> None:
+        now = self.engine.clock.now()
+        for guest in [guest for guest in self.guests if guest.overdue(now)]:
+            if not guest.out_at:
+                self.engine.stats.count(self.name, "silent")
+            guest.abort()
+        self.engine.deadlines.add(now + LOOK, self._look)
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,32 +12,51 @@
 from threadhill.core.engine import Engine
 from threadhill.core.ports import Ended, Order
 from threadhill.net.stream import Stream
+from threadhill.state import remember
 
 HEAD = 1_024  # bytes of an answer's line at most
 BODY = 256 << 10  # of its body; objects have up to 240,000
 OUTBOUND = 256 << 10
+WIRE = 128 << 10  # bytes that a connection's rings come to, as most answers are far under the bound
 IDLE_SHARE = 0.7  # part of the peer's idle time after which a connection is closed from this side
 USED = 64  # ids given up on a connection after which it is closed
+DONE = 256  # ids answered on a connection that it remembers: the longest that one request's attempts may span
 POOL = 4  # connections to one server at most: answers on a shared one were measured not to delay each other
+STALL = 500_000  # microseconds in the middle of an answer after which the rest is no more waited for
 MODES = ((api.FillMode.JOIN, "collapse"), (api.FillMode.HELD_ONLY, "only-if-cached"),
          (api.FillMode.PARENT_KEEPS_NOT, "no-store-up"), (api.FillMode.RENEW, "refresh"))
 ENDS = {"ok": api.Outcome.SERVED, "current": api.Outcome.SERVED, "nothing": api.Outcome.MISS,
         "refused": api.Outcome.REFUSED, "error": api.Outcome.ERROR, "stale": api.Outcome.UNSENT}
-REPORT = {"inflight": "inflight", "rif": "inflight", "util": "util", "busy": "util", "x1": "link", "x0": "hits"}
+# In the module's names, and what a figure can be at most; one beyond that, or none at all, would upset its averages.
+REPORT = {"inflight": ("inflight", 1e6), "rif": ("inflight", 1e6), "util": ("util", 1e3), "busy": ("util", 1e3),
+          "x1": ("link", 1e3), "x0": ("hits", 1.0)}
+FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,18})?([eE]-[0-9]{1,2})?")
+ANSWER = re.compile(rb"([!-~]{1,64}) ([a-z]{1,16}) ([!-~]{1,900}) ([0-9]{1,9})")
 
 
 def read_report(text: str) -> dict[str, float]:
-    """`inflight:7;util:0.61` in the module's names; what it does not know is skipped."""
+    """`inflight:7;util:0.61` in the module's names; what it does not know or cannot be is skipped."""
     load = {}
     for item in text.split(";"):
         name, _, value = item.partition(":")
-        try:
-            load[REPORT[name]] = float(value)
-        except (KeyError, ValueError):
-            continue
+        if name in REPORT and FIGURE.fullmatch(value) and float(value) <= REPORT[name][1]:
+            load[REPORT[name][0]] = float(value)
     return load
 
 
+def read_answer(line: bytes) -> tuple[str, str, dict[str, str], int] | None:
+    """Id, word, fields and length of an answer's line; None where it is none."""
+    match = ANSWER.fullmatch(line)
+    if match is None:
+        return None
+    id, word, raw, size = (group.decode("ascii") for group in match.groups())
+    pairs = [item.partition("=") for item in raw.split(",")] if raw != "-" else []
+    fields = {name: value for name, equals, value in pairs if equals and name}
+    if word not in ENDS or len(fields) < len(pairs) or int(size) > (BODY - 2 if word != "current" else 0):
+        return None
+    return id, word, fields, int(size)
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What the site and the machine allow; times in microseconds."""
@@ -47,16 +67,6 @@
     connect_timeout: int = 400_000
 
 
-@dataclass(slots=True)
-class Server:
-    """Where a server listens, and what goes there."""
-
-    name: str
-    host: str
-    port: int
-    pool: Pool
-
-
 @dataclass(slots=True)
 class Sending:
     """An attempt that waits for a connection or is out on one."""
@@ -75,9 +85,11 @@
         self.pool = pool
         self.open: dict[str, int] = {}  # id -> attempt
         self.used: set[str] = set()  # ids given up here: their late answers must not pass for a new attempt's
+        self.done: dict[str, None] = {}  # ids answered here lately: the answer may come a second time
         self.suspect = False  # an attempt ran out of time here and nothing has come since it was sent
-        self.heard = self.idle_since = 0
-        self._head: tuple[str, str, str] | None = None
+        self.heard = self.idle_since = pool.caches.engine.clock.now()
+        self._head: tuple[str, str, dict[str, str]] | None = None
+        self.counted = False  # it came up, so its end frees its place
 
     def opened(self) -> None:
         self.pool.opened(self)
@@ -85,9 +97,27 @@
     def ended(self) -> None:
         self.pool.lost(self)
 
+    def fault(self, trace: str) -> None:
+        self.pool.caches.engine.stats.count("fault", "server")
+        self.pool.caches.log(f"{self.pool.name}: {trace}")
+
     @property
     def usable(self) -> bool:
-        return self.transport is not None and not self._closing and not self.suspect
+        up = self.transport is not None and not self._closing and not self.transport.is_closing()
+        return up and not self.suspect and not self.stalled()
+
+    def carries(self, id: str) -> bool:
+        """Whether an answer under this id may come here that is not a new attempt's."""
+        return id in self.open or id in self.used or id in self.done
+
+    def stalled(self) -> bool:
+        """Whether an answer stopped in the middle: one whose length is wrong swallows those that follow."""
+        began = self._head is not None or len(self.inbound) > 0
+        return began and self.pool.caches.engine.clock.now() - self.heard > STALL
+
+    def answering(self, id: str) -> bool:
+        """Whether the answer under this id has begun to come."""
+        return self._head is not None and self._head[0] == id
 
     def parse(self) -> None:
         self.heard, self.suspect = self.pool.caches.engine.clock.now(), False
@@ -99,12 +129,12 @@
                     if len(line) >= HEAD:
                         self._broken("a line is too long")
                     return
-                words = line[:end].decode("utf-8", "replace").split(" ")
-                if len(words) != 4 or not words[3].isdigit() or int(words[3]) > BODY - 2:
+                answer = read_answer(line[:end])
+                if answer is None:
                     self._broken("not an answer")
                     return
                 self.inbound.skip(end + 2)
-                self._head, self.wanted = (words[0], words[1], words[2]), int(words[3]) + 2
+                self._head, self.wanted = answer[:3], answer[3] + 2
             if len(self.inbound) < self.wanted:
                 return
             body = self.inbound.take(self.wanted)
@@ -119,22 +149,24 @@
         self.pool.caches.log(f"{self.pool.name}: {why}")
         self.abort()
 
-    def _answer(self, id: str, word: str, raw: str, body: bytes) -> None:
+    def _answer(self, id: str, word: str, fields: dict[str, str], body: bytes) -> None:
         attempt = self.open.pop(id, None)
-        if attempt is None:
-            return  # given up meanwhile
-        fields = dict(item.partition("=")[::2] for item in raw.split(",")) if raw != "-" else {}
-        ended = Ended(ENDS.get(word, api.Outcome.ERROR), body, fields.get("ver", ""), word == "current",
+        if attempt is None:  # given up meanwhile, a second copy, or nothing that was asked for here
+            self.pool.caches.engine.stats.count("unasked", word)
+            return
+        remember(self.done, id, None, DONE)
+        ended = Ended(ENDS[word], body, fields.get("ver", ""), word == "current",
                       read_report(fields.get("report", "")))
         self.pool.done(self)
         self.pool.caches.ended(attempt, ended)
 
 
 class Pool:
-    """The connections to one server, and the attempts that wait for one."""
+    """The connections to one server at one address, and the attempts that wait for one. A server that comes back, or
+    another one at the same address, gets a pool of its own."""
 
-    def __init__(self, caches: CacheServers, number: int, name: str) -> None:
-        self.caches, self.number, self.name = caches, number, name
+    def __init__(self, caches: CacheServers, name: str, host: str, port: int) -> None:
+        self.caches, self.name, self.host, self.port = caches, name, host, port
         self.wires: list[Wire] = []
         self.waiting: deque[int] = deque()
         self.dialling = 0
@@ -152,36 +184,56 @@
             if sending is not None and wire is None:
                 break
             attempt = self.waiting.popleft()
-            if wire is not None:
-                self._write(wire, attempt)
-        good = sum(wire.usable for wire in self.wires)
-        while self.dialling < len(self.waiting) and good + self.dialling < self.caches.pool_most and self.ready:
+            if wire is not None and not self._write(wire, attempt):
+                self.waiting.appendleft(attempt)  # nothing of it was taken: it goes on the next connection
+        while self.ready and self.dialling < len(self.waiting) and self._may_dial():
             self.caches.dial(self)
 
+    def _may_dial(self) -> bool:
+        """Whether one more connection may be opened: within this server's share and what the machine has. A server
+        that cannot be reached at all otherwise gets its first one in any case."""
+        good = sum(wire.usable for wire in self.wires)
+        if not good + self.dialling:
+            return True
+        return good + self.dialling < self.caches.pool_most and self.caches.held < self.caches.limits.descriptors
+
     def _pick(self, id: str) -> Wire | None:
         """An idle connection, the last used first; where no more may be dialled, the one with the fewest out."""
-        fit = [w for w in self.wires if w.usable and not w.slow and id not in w.open and id not in w.used]
-        idle = [w for w in fit if not w.open]
+        good = [wire for wire in self.wires if wire.usable and not wire.slow]
+        fit = [wire for wire in good if not wire.carries(id)]
+        idle = [wire for wire in fit if not wire.open]
         if idle:
-            return max(idle, key=lambda w: w.idle_since)
-        if sum(wire.usable for wire in self.wires) + self.dialling < self.caches.pool_most:
+            return max(idle, key=lambda wire: wire.idle_since)
+        if self._may_dial():
             return None
-        return min((w for w in fit if len(w.open) < self.caches.streams), key=lambda w: len(w.open), default=None)
+        if good and not fit:  # all have carried this id: the one with the least on it makes room
+            spare = min(good, key=lambda wire: len(wire.open))
+            if not spare.open:
+                spare.close()
+            return None
+        return min((wire for wire in fit if len(wire.open) < self.caches.streams),
+                   key=lambda wire: len(wire.open), default=None)
 
-    def _write(self, wire: Wire, attempt: int) -> None:
+    def _write(self, wire: Wire, attempt: int) -> bool:
+        """Whether it is written: a connection that was reset meanwhile takes nothing, which is no fault of the
+        server and no proof that the attempt ran."""
         sending = self.caches.sendings[attempt]
         body = sending.order.ask.body
         if not wire.write(self.caches.head(sending.order), body, b"\r\n"):
-            self.caches.ended(attempt, Ended(api.Outcome.UNSENT))
-            return
+            wire.suspect = True
+            return False
         sending.wire, sending.at = wire, self.caches.engine.clock.now()
         wire.open[sending.order.ask.rid] = attempt
         self.caches.engine.stats.count("bytes_out", "servers", len(body))
+        return True
 
     def opened(self, wire: Wire) -> None:
         self.wires.append(wire)
+        wire.counted = True
         self.caches.engine.stats.count("connection", "opened")
         wire.idle_since = self.caches.engine.clock.now()
+        if not self.ready:  # the server drains or is gone since it was dialled
+            wire.close()
 
     def done(self, wire: Wire) -> None:
         """A connection has room again: what waits longest takes it."""
@@ -193,6 +245,7 @@
     def lost(self, wire: Wire) -> None:
         if wire in self.wires:
             self.wires.remove(wire)
+            self.caches.held -= 1
         self.caches.engine.stats.count("connection", "closed")
         attempts, wire.open = list(wire.open.values()), {}
         for attempt in attempts:
@@ -224,8 +277,9 @@
     def __init__(self, engine: Engine, limits: Limits, log: Callable[[str], None]) -> None:
         self.engine, self.log = engine, log
         self.limit(limits)
-        self.servers: dict[int, Server] = {}
+        self.servers: dict[int, Pool] = {}  # of the list: who has gone is forgotten, its pool ends by itself
         self.sendings: dict[int, Sending] = {}
+        self.held = 0  # connections to servers and dials, those of retired pools too
         self._tasks: set[asyncio.Task[None]] = set()
         self._tidy()
 
@@ -237,8 +291,8 @@
     def _tidy(self) -> None:
         """Close what has been idle for long before the peer does: a request that crosses its close is lost."""
         now = self.engine.clock.now()
-        for server in self.servers.values():
-            server.pool.close_idle(now - self.idle_time)
+        for pool in self.servers.values():
+            pool.close_idle(now - self.idle_time)
         self.engine.deadlines.add(now + 1_000_000, self._tidy)
 
     @property
@@ -251,59 +305,64 @@
     def send(self, attempt: int, order: Order) -> None:
         server = self.servers.get(order.server)
         source = self.servers.get(order.source)
-        if server is None or source is None or not server.pool.ready:
+        if server is None or source is None or not server.ready:
             self.engine.ended(attempt, Ended(api.Outcome.UNSENT))
             return
         self.sendings[attempt] = Sending(order.server, order)
-        server.pool.send(attempt)
+        server.send(attempt)
 
     def drop(self, attempt: int) -> bool:
         sending = self.sendings.pop(attempt, None)
         if sending is None or sending.wire is None:
             return False
         wire, id = sending.wire, sending.order.ask.rid
-        if wire.open.pop(id, None) is not None and wire.transport is not None:
-            # Nothing came since this was sent: the machine may have vanished, which no reset will tell. What
-            # else is out here may wait; anything new goes to a new connection, which will not come up then.
-            wire.suspect = wire.heard < sending.at
-            if wire.suspect:  # an idle connection knows no better
-                wire.pool.close_idle(self.engine.clock.now() + 1)
-            if wire.suspect and not wire.open:
-                wire.abort()
-            else:
-                wire.used.add(id)
-                wire.write(b"undo %s\r\n" % id.encode())
-                wire.pool.done(wire)
+        if wire.open.pop(id, None) is None or wire.transport is None:
+            return True
+        # Nothing came since this was sent: the machine may have vanished, which no reset will tell. What else is
+        # out here may wait; anything new goes to a new connection, which will not come up then.
+        wire.suspect = wire.suspect or wire.heard < sending.at
+        if wire.suspect:  # an idle connection knows no better
+            wire.pool.close_idle(self.engine.clock.now() + 1)
+        if wire.stalled() or wire.suspect and not wire.open:
+            wire.abort()  # a stalled one is of no use to the others on it either: they may be asked again elsewhere
+            return True
+        wire.used.add(id)
+        if not wire.answering(id):
+            wire.write(b"undo %s\r\n" % id.encode())
+        wire.pool.done(wire)
         return True
 
     def listed(self, entries: list[api.Entry]) -> None:
         for entry in entries:
-            server = self.servers.get(entry.server)
-            if server is not None and entry.state is not api.State.READY:
-                server.pool.retire()
-                for attempt, sending in list(self.sendings.items()):
-                    if sending.wire is None and sending.order.source == entry.server:
-                        self.ended(attempt, Ended(api.Outcome.UNSENT))
+            pool = self.servers.get(entry.server)
+            if pool is None or entry.state is api.State.READY:
+                continue
+            pool.retire()
+            for attempt, sending in list(self.sendings.items()):
+                if sending.wire is None and sending.order.source == entry.server:
+                    self.ended(attempt, Ended(api.Outcome.UNSENT))
+            if entry.state is api.State.GONE:
+                del self.servers[entry.server]
 
     # --- what the list tells of addresses
 
     def known(self, number: int, name: str, host: str, port: int) -> None:
         """A server that is ready, at this address; a new address or a return from draining means a new pool."""
         old = self.servers.get(number)
-        if old is not None and (old.host, old.port) == (host, port) and old.pool.ready:
+        if old is not None and (old.host, old.port) == (host, port) and old.ready:
             return
         if old is not None:
-            old.pool.retire()
-        self.servers[number] = Server(name, host, port, Pool(self, number, name))
+            old.retire()
+        self.servers[number] = Pool(self, name, host, port)
 
     def where(self, number: int) -> tuple[str, str, int] | None:
         """The name and address of a server that is ready now."""
-        server = self.servers.get(number)
-        return (server.name, server.host, server.port) if server is not None and server.pool.ready else None
+        pool = self.servers.get(number)
+        return (pool.name, pool.host, pool.port) if pool is not None and pool.ready else None
 
     def families(self) -> set[int]:
         """The IP versions that ready servers' addresses have."""
-        return {6 if ":" in server.host else 4 for server in self.servers.values() if server.pool.ready}
+        return {6 if ":" in pool.host else 4 for pool in self.servers.values() if pool.ready}
 
     # --- what the pools call
 
@@ -333,19 +392,22 @@
 
     def dial(self, pool: Pool) -> None:
         pool.dialling += 1
+        self.held += 1
         task = asyncio.get_running_loop().create_task(self._dial(pool))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _dial(self, pool: Pool) -> None:
-        server = self.servers[pool.number]
         loop = asyncio.get_running_loop()
+        wire = Wire(pool)
         try:
             async with asyncio.timeout(self.limits.connect_timeout / 1e6):
-                await loop.create_connection(lambda: Wire(pool), server.host, server.port)
+                await loop.create_connection(lambda: wire, pool.host, pool.port)
         except OSError as error:  # a time-out is one too
             self.engine.stats.count("connection", "failed")
             self.log(f"{pool.name}: no connection: {error!r}")
+            if not wire.counted:
+                self.held -= 1
             pool.dialled(up=False)
         else:
             pool.dialled(up=True)
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -2,20 +2,31 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
+from threadhill import interface as api
 from threadhill.core.engine import Engine
 from threadhill.core.ports import Answer, Ask, Final
+from threadhill.net.door import Door, Guest
 from threadhill.net.stream import Stream
 
 LINE = 32  # bytes of a length line at most
 WORDS = 5  # of a message: verb, tag, class, fields, body
 WORD = 1_024  # bytes of a word at most; of the last one BODY
-BODY = 64 << 10
+BODY = 48_000
 OPEN = 32  # requests that one connection may have open
+TURN = 16  # messages of one connection taken in a turn: others are heard in between
+FAULT_PAUSE = 50_000  # microseconds for which nothing is read from who sent what cannot be used
 BACKLOG = 256 << 10  # bytes waiting for a client from which on nothing more is read from it
-OUTBOUND = 8 << 20  # what all the open requests of a connection can come to
-ALL_OUTBOUND = 40 << 20  # what may wait for all clients together
+COME_BACK = 500_000  # microseconds that one refused by the front itself is asked to stay away
+BUDGET = 3_600_000  # milliseconds that a client may wait at most
+SHARDS = 256
+HEX = re.compile(r"[0-9a-f]{16}")
+WHOLE = re.compile(r"[0-9]{1,10}")
+SIZE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+# What goes on into cache servers' lines: a space, comma, `=` or line end there would break a line that others share.
+PLAIN = re.compile(r"[!-+\--<>-~]{1,128}")
 FINALS = {Final.SERVED: b"200", Final.REFUSED: b"503", Final.FAILED: b"500"}
 
 
@@ -34,86 +45,133 @@
     if text in ("", "-"):
         return {}
     pairs = [item.partition("=") for item in text.split(",")]
-    if any(not equals or not name for name, equals, _ in pairs):
-        raise ValueError("a field is not name=value")
-    return {name: value for name, _, value in pairs}
+    fields = {name: value for name, equals, value in pairs if equals and name}
+    if len(fields) < len(pairs):
+        raise ValueError("a field is not name=value, or stands twice")
+    return fields
 
 
-def read_ask(cls: str, raw: bytes, body: bytes) -> Ask:
-    """A request from its fields; ValueError where one cannot be used."""
+def _field(fields: dict[str, str], name: str, form: re.Pattern[str], absent: str | None = None) -> str | None:
+    """A field of this form, whole; ValueError where it has another one or is missing and has no default."""
+    value = fields.get(name)
+    if value is None and (absent is not None or name in OPTIONAL):
+        return absent
+    if value is None or not form.fullmatch(value):
+        raise ValueError(f"{name} cannot be used")
+    return value
+
+
+OPTIONAL = ("shard", "token", "mine", "acct")
+
+
+def read_ask(cls: api.RequestClass, raw: bytes, body: bytes) -> Ask:
+    """A request from its fields; ValueError where one cannot be used. Nothing is passed on unchecked."""
     fields = read_fields(raw)
-    rid, obj = fields.get("rid", ""), fields.get("obj", "")
-    for name, value in (("rid", rid), ("obj", obj)):
-        if len(value) != 16 or set(value) - set("0123456789abcdef"):
-            raise ValueError(f"{name} is not 16 hex digits")
-    budget, part, size = int(fields["budget"]), int(fields.get("n") or 0), float(fields.get("mem") or 0)
-    if not (0 <= budget <= 3_600_000 and 0 <= part < 1 << 31 and 0 <= size < 1e9):
+    rid, obj = _field(fields, "rid", HEX), _field(fields, "obj", HEX)
+    budget, part = int(_field(fields, "budget", WHOLE)), int(_field(fields, "n", WHOLE, "0"))
+    shard = _field(fields, "shard", WHOLE)
+    if budget > BUDGET or part >= 1 << 31 or shard is not None and int(shard) >= SHARDS:
         raise ValueError("a number is out of range")
-    shard = fields.get("shard")
-    return Ask(rid, cls, obj, budget * 1_000, part, int(shard) if shard else None, size,
-               fields.get("again") == "1", fields.get("acct"), fields.get("token"), fields.get("mine"), body)
+    if fields.get("again", "0") not in ("0", "1"):
+        raise ValueError("again cannot be used")
+    token = _field(fields, "token", PLAIN)
+    if cls.effect is api.Effect.KEYED and token is None:
+        raise ValueError("a keyed class needs its token")
+    if body and not cls.write:
+        raise ValueError("only writes bring a body")
+    return Ask(rid, cls.name, obj, budget * 1_000, part, int(shard) if shard else None,
+               float(_field(fields, "mem", SIZE, "0")), fields.get("again") == "1", _field(fields, "acct", PLAIN),
+               token, _field(fields, "mine", PLAIN), body)
 
 
 class Platform:
     """What the connections of this front share."""
 
-    def __init__(self, engine: Engine, classes: frozenset[str], most: int,
+    def __init__(self, engine: Engine, classes: dict[str, api.RequestClass], most: int, all_outbound: int,
                  soon: Callable[[Callable[[], None]], object], log: Callable[[str], None]) -> None:
-        self.engine, self.classes, self.most, self.soon, self.log = engine, classes, most, soon, log
+        self.engine, self.classes, self.soon, self.log = engine, classes, soon, log
+        self.door = Door(engine, "client", most, lambda door: Client(self, door), log)
+        self.all_outbound = all_outbound  # bytes that may wait for all clients together
         self.ready = False
-        self.connections: dict[int, Client] = {}
-        self._number = 0
-
-    def __call__(self) -> Client:
-        self._number += 1
-        return Client(self, self._number)
+        self.refusing = False  # nothing new is taken any more
+        self.rids: set[str] = set()  # ids of the open requests
 
     def open(self) -> int:
-        return sum(len(client.open) for client in self.connections.values())
+        return len(self.rids)
 
     def backlog(self) -> int:
-        return sum(client.backlog() for client in self.connections.values())
+        return sum(client.backlog() for client in self.door.guests)
 
 
-class Client(Stream):
+class Client(Guest):
     """One client's connection."""
 
-    def __init__(self, front: Platform, number: int) -> None:
-        super().__init__(BODY + WORDS * (WORD + LINE), OUTBOUND)
-        self.front, self.number = front, number
-        self.open: dict[int, int] = {}  # tag -> the core's handle; -1 until it is known
-        self._tags: set[int] = set()
+    def __init__(self, front: Platform, door: Door) -> None:
+        super().__init__(door, BODY + WORDS * (WORD + LINE), front.all_outbound)
+        self.front = front
+        self.open: dict[int, tuple[int, str]] = {}  # tag -> the core's handle, -1 until it is known, and the id
         self._words: list[bytes] = []
         self._expected = 0  # words of the message under way; 0 before its first line
         self._reading = True
+        self._held = False  # parsing goes on in another turn
 
-    def opened(self) -> None:
-        if len(self.front.connections) >= self.front.most:
-            self.abort()  # descriptors are kept for the caches: without them nobody is served
-            return
-        self.front.connections[self.number] = self
-        self.front.engine.stats.count("client", "opened")
+    def left(self) -> None:
+        for tag in list(self.open):
+            self._forget(tag)
+
+    def owed(self) -> bool:
+        return bool(self.open) or self.backlog() > 0
 
-    def ended(self) -> None:
-        self.front.connections.pop(self.number, None)
-        self.front.engine.stats.count("client", "closed")
-        for handle in list(self.open.values()):
+    def midway(self) -> bool:
+        return self._reading and not self._held and (len(self.inbound) > 0 or self._expected > 0)
+
+    def _forget(self, tag: int) -> None:
+        """The client waits no more for this one, if it did."""
+        handle, rid = self.open.pop(tag, (-1, ""))
+        self.front.rids.discard(rid)
+        if handle >= 0:
             self.front.engine.gone(handle)
-        self.open.clear()
 
     def parse(self) -> None:
+        """A turn's share of the messages that have come. The rest waits, so that no flood on one connection holds up
+        the others, and for longer where one could not be used: who sends such at full speed is slowed down."""
+        wait = -1
         try:
-            while self._reading and not self._closing and (message := self._message()) is not None:
-                self._take(message)
+            for _ in range(TURN):
+                if self._held or self._closing or not self._reading or (message := self._message()) is None:
+                    break
+                self.spoken()
+                if not self._take(message):
+                    wait = FAULT_PAUSE
+                    break
                 self._throttle()
+            else:
+                wait = 0
         except Malformed as error:
             self.front.engine.stats.count("malformed", "client")
             self.write(b"-ERR " + str(error).encode() + b"\r\n")
-            self.linger(self.front.engine.deadlines, self.front.engine.clock.now())
+            self.linger()
+            for tag in list(self.open):  # nothing of a connection that is thrown out need go on
+                self._forget(tag)
+            return
+        if wait >= 0 and not self._closing:
+            self._hold(wait)
+
+    def _hold(self, wait: int) -> None:
+        """Take nothing more for so long; 0: until the other connections had their turn."""
+        self._held = True
+        self._throttle()
+        if wait:
+            self.front.engine.deadlines.add(self.front.engine.clock.now() + wait, self._resume)
+        else:
+            self.front.soon(self._resume)
 
     def _resume(self) -> None:
-        if self.transport is not None:
-            self.parse()
+        """Go on with what came before the pause; not from within an answer."""
+        self._held = False
+        self._throttle()
+        if self._reading and not self._closing and self.transport is not None:
+            self.turn()
 
     def _number_line(self, mark: bytes) -> int | None:
         head = self.inbound.peek(LINE)
@@ -155,46 +213,66 @@
         self._expected = 0
         return self._words
 
-    def _take(self, words: list[bytes]) -> None:
+    def _take(self, words: list[bytes]) -> bool:
+        """One whole message; whether it could be used."""
         verb = words[0].upper()
         if len(words) < 2 or not words[1].isdigit() or len(words[1]) > 18 or not int(words[1]):
             raise Malformed("a message needs a tag, a number from 1 up")
         tag = int(words[1])
         if verb == b"ASK":
-            self._ask(tag, words)
-        elif verb == b"NEVERMIND":
-            handle = self.open.pop(tag, None)
-            if handle is not None:
-                self.front.engine.gone(handle)
+            return self._ask(tag, words)
+        if verb == b"NEVERMIND":
+            self._forget(tag)
         elif verb == b"STATUS":
             self.write(bulk(b"%d" % tag, b"serving" if self.front.ready else b"not_serving", b"", b""))
         else:
             raise Malformed("unknown command")
+        return True
 
-    def _ask(self, tag: int, words: list[bytes]) -> None:
+    def _ask(self, tag: int, words: list[bytes]) -> bool:
         if tag in self.open:
             raise Malformed("the tag is in use")
         try:
             if len(words) < 4:
                 raise ValueError("a request has a class and fields")
-            cls = words[2].decode("utf-8")
-            if cls not in self.front.classes:
+            cls = self.front.classes.get(words[2].decode("utf-8"))
+            if cls is None:
                 raise ValueError("no such class")
             ask = read_ask(cls, words[3], words[4] if len(words) > 4 else b"")
-        except (ValueError, KeyError) as error:
+        except ValueError as error:
             self.front.engine.stats.count("malformed", "request")
             self.front.log(f"request not usable: {error!r}")
-            self.write(bulk(b"%d" % tag, FINALS[Final.FAILED], b"", b""))
-            return
-        self.open[tag] = -1
+            self._say(tag, Answer(Final.FAILED))
+            return False
+        if any(rid == ask.rid for _, rid in self.open.values()):
+            # On a cache server's line the two could not be told apart, and neither could their answers.
+            raise Malformed("the id is in use")
+        if ask.rid in self.front.rids:
+            self.front.engine.stats.count("malformed", "id in use")
+            self._say(tag, Answer(Final.FAILED))
+            return False
+        if len(self.open) >= OPEN or self.front.refusing:
+            self.front.engine.stats.count("refused by the front", ask.cls)
+            self._say(tag, Answer(Final.REFUSED, come_back=COME_BACK))
+            return self.front.refusing
+        self.open[tag] = -1, ask.rid
+        self.front.rids.add(ask.rid)
         handle = self.front.engine.ask(self, tag, ask)
         if tag in self.open:  # else it was answered at once
-            self.open[tag] = handle
+            self.open[tag] = handle, ask.rid
+        return True
 
     def answer(self, ref: int, answer: Answer) -> None:
-        """The final answer, in one piece: one begun would hold up those of all other tags."""
-        if self.open.pop(ref, None) is None:
+        """The final answer of a request."""
+        _, rid = self.open.pop(ref, (-1, ""))
+        if not rid:
             return
+        self.front.rids.discard(rid)
+        self._say(ref, answer)
+        self._throttle()
+
+    def _say(self, ref: int, answer: Answer) -> None:
+        """An answer, in one piece: one begun would hold up those of all other tags."""
         fields = b""
         if answer.same:
             fields = b"still=1"
@@ -202,27 +280,36 @@
             fields = b"backoff=%d" % (answer.come_back // 1_000)
         head = b"*4\r\n$%d\r\n%d\r\n$3\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n" % (
             len(str(ref)), ref, FINALS[answer.final], len(fields), fields, len(answer.body))
-        # A client that does not read must not grow memory: past the bound its connection is given up.
-        crowded = self.slow and self.front.backlog() + len(answer.body) > ALL_OUTBOUND
-        if crowded or not self.write(head, answer.body, b"\r\n"):
-            self.front.engine.stats.count("client", "too slow")
-            self.abort()
+        # Clients that do not read must not grow memory: past the bound the one that holds the most is given up.
+        while self.slow and self.front.backlog() + len(answer.body) > self.front.all_outbound:
+            slowest = max(self.door.guests, key=Stream.backlog)
+            slowest.give_up()
+            if slowest is self:
+                return
+        if not self.write(head, answer.body, b"\r\n"):
+            self.give_up()
             return
         self.front.engine.stats.count("bytes_out", "clients", len(answer.body))
-        self._throttle()
+
+    def give_up(self) -> None:
+        """This client does not read what it is sent."""
+        self.front.engine.stats.count("client", "too slow")
+        self.outbound.skip(len(self.outbound))
+        self.abort()
 
     def backlog_changed(self) -> None:
+        was = self._reading
         self._throttle()
+        if self._reading and not was:
+            self._hold(0)
 
     def _throttle(self) -> None:
-        """Read on only while the client reads what it is sent and has open what it may."""
-        # A client with all it may have open must still be heard: its next message may be a NEVERMIND.
-        reading = len(self.open) <= OPEN and self.backlog() < BACKLOG
+        """Read on only while the client reads what it is sent, and not during a pause."""
+        reading = not self._held and self.backlog() < BACKLOG
         if reading == self._reading or self.transport is None or self._closing:
             return
         self._reading = reading
         if reading:
             self.transport.resume_reading()
-            self.front.soon(self._resume)  # what came before the pause; not from within an answer
         else:
             self.transport.pause_reading()
--- a/threadhill/net/ring.py
+++ b/threadhill/net/ring.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 FIRST = 4 << 10
-KEEP = 64 << 10  # an empty ring larger than this gives its memory back
+KEEP = 16 << 10  # an empty ring larger than this gives its memory back
 
 
 class Full(Exception):
--- a/threadhill/net/serve.py
+++ b/threadhill/net/serve.py
@@ -5,8 +5,10 @@
 import asyncio
 import os
 import signal
-import sys
+import time
+import traceback
 from collections.abc import Mapping
+from typing import Any
 
 import orjson
 
@@ -18,17 +20,20 @@
 from threadhill.core.engine import Engine
 from threadhill.dns.front import DnsConfig, DnsFront
 from threadhill.dns.transport import DnsServer
+from threadhill.log import Log
+from threadhill.net.door import Door
 from threadhill.net.journal import Journal
 from threadhill.net.lines import CacheServers
 from threadhill.net.resp import Platform
 from threadhill.stats import Stats
 
 SERVE_ON = 700_000  # microseconds after SIGTERM in which requests still come and are taken
+ADMINS = 16  # connections to the administration API at once
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
+LONGEST = 3_000_000  # microseconds of the longest deadline, where the classes' are shorter
+BEFORE_KILL = 50_000  # microseconds before the longest deadline has passed as well: SIGKILL may come then
 
-
-def log(text: str) -> None:
-    print(text, file=sys.stderr, flush=True)
+log = Log(time.monotonic)
 
 
 class Proxy:
@@ -40,12 +45,13 @@
         self.clock = Clock()
         self.stats = Stats()
         self._timer: asyncio.TimerHandle | None = None
-        self.deadlines = Deadlines(self._arm)
+        self.deadlines = Deadlines(self._arm, self._fault)
         self.engine = Engine(config.settings, config.seed, self.clock, self.deadlines, self.stats, log)
         self.caches = CacheServers(self.engine, config.limits, log)
         self.journal = Journal(self.engine, self.caches, log)
-        self.front = Platform(self.engine, frozenset(config.settings.classes), config.clients,
+        self.front = Platform(self.engine, config.settings.classes, config.clients, config.outbound,
                               self.loop.call_soon, log)
+        self.loop.set_exception_handler(self._unhandled)
         self.done = asyncio.Event()
         self._leaving = 0  # when SIGTERM came
 
@@ -57,6 +63,15 @@
         if when is not None:
             self._timer = self.loop.call_later(max(0, when - self.clock.now()) / 1e6, self._sweep)
 
+    def _fault(self, error: Exception) -> None:
+        self.stats.count("fault", "deadline")
+        log("".join(traceback.format_exception(error)))
+
+    def _unhandled(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What asyncio would log without any bound: some peers can bring it about as often as they like."""
+        self.stats.count("fault", "loop")
+        log(f"{context.get('message')}: {context.get('exception')!r}")
+
     def _sweep(self) -> None:
         self._timer = None
         self.deadlines.woken()
@@ -72,29 +87,28 @@
         self.journal.catch_up(*self.config.known)
         self.journal.follow(self.config.journal)
         host, port = self.config.listen
-        server = await self.loop.create_server(lambda: self.front(), host, port, backlog=512)
+        port = await self.front.door.listen(host, port)
         self.engine.tenants.replace(list(self.operator.tenants))
         if self.operator.dns is not None:
             await self._serve_dns(self.operator.dns)
         if self.operator.admin is not None:
             await self._serve_admin(self.operator.admin)
         self.front.ready = True
-        log(f"{self.config.name}: serving on {host}:{server.sockets[0].getsockname()[1]}")
+        log.say(f"{self.config.name}: serving on {host}:{port}")
         await self.done.wait()
-        server.close()
+        self.front.door.shut()
         self.report()
 
     async def _serve_dns(self, config: DnsConfig) -> None:
         front = DnsFront(self.engine, config, frozenset(self.config.settings.classes), self.caches.where,
                          self.caches.families)
-        log(f"dns: serving on {await DnsServer(front).listen()}")
+        log.say(f"dns: serving on {await DnsServer(front, log).listen()}")
 
     async def _serve_admin(self, config: AdminConfig) -> None:
         api = Api(self.engine.tenants, self.stats, lambda: log(f"tenants: version {self.engine.tenants.version}"))
-        server = await self.loop.create_server(
-            lambda: HttpConnection(config.token, api, self.deadlines, self.clock.now), *config.listen)
-        host, port = server.sockets[0].getsockname()[:2]
-        log(f"admin: serving on {host}:{port}")
+        door = Door(self.engine, "admin client", ADMINS, lambda door: HttpConnection(config.token, api, door), log)
+        host = config.listen[0]
+        log.say(f"admin: serving on {host}:{await door.listen(*config.listen)}")
 
     def reload(self, environ: Mapping[str, str] = os.environ) -> None:
         """SIGHUP: the file is read and checked whole before anything changes; a bad one changes nothing. Journal
@@ -103,16 +117,16 @@
             new = load(environ)
         except BadConfig as error:
             self.stats.count("reload", "refused")
-            log(f"reload: {error}; everything stays as it is")
+            log.say(f"reload: {error}; everything stays as it is")
             return
         old, self.config = self.config, new
         later = [key for key in ("name", "listen", "settings") if getattr(old, key) != getattr(new, key)]
         self.caches.limit(new.limits)
-        self.front.most = new.clients
+        self.front.door.most, self.front.all_outbound = new.clients, new.outbound
         self.journal.catch_up(*new.known)
         self.journal.follow(new.journal)
         self.stats.count("reload", "done")
-        log("reload: done" + (f"; {', '.join(later)} take a restart" if later else ""))
+        log.say("reload: done" + (f"; {', '.join(later)} take a restart" if later else ""))
 
     def leave(self) -> None:
         """SIGTERM: clients still come for a while, and all that is taken is answered before the end."""
@@ -122,16 +136,26 @@
             self._look()
 
     def _look(self) -> None:
+        """Whether all is answered. Nothing new is taken after a while: a flood must not hold up the end, and
+        neither must a client that does not read what it is owed."""
         now = self.clock.now()
+        over = now - self._leaving - SERVE_ON
+        if over >= 0 and not self.front.refusing:
+            self.front.refusing = True
+            self.front.door.shut()
+        longest = max([LONGEST, *(cls.deadline for cls in self.config.settings.classes.values())])
         owed = self.front.open() or self.front.backlog()
-        if now - self._leaving >= SERVE_ON and not owed:
+        if over >= longest - BEFORE_KILL:
+            self.engine.end_all()
+            self.done.set()
+        elif over >= 0 and not owed:
             self.done.set()
         else:
             self.deadlines.add(now + LOOK_AGAIN, self._look)
 
     def report(self) -> None:
         """The counters, one line of JSON."""
-        log(orjson.dumps(self.stats.table()).decode())
+        log.say(orjson.dumps(self.stats.table()).decode())
 
 
 def serve(config: Config, operator: Operator) -> None:
--- a/threadhill/net/stream.py
+++ b/threadhill/net/stream.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 
-from threadhill.core.deadlines import Deadlines
 from threadhill.net.ring import Full, Ring
 
 CHUNK = 64 << 10  # bytes that the transport may hold for the kernel; the rest waits in the ring
-LINGER = 1_000_000  # microseconds in which the peer may read why it is thrown out
+DISCARD = 64 << 10  # bytes taken from a peer that was thrown out; one with more to say may fill the kernel's buffers
 
 
 class Stream(asyncio.BufferedProtocol):
@@ -20,6 +20,7 @@
         self.wanted = 1  # bytes that the message under way needs in all, so that the ring grows once
         self._paused = False  # the transport takes no more
         self._closing = False
+        self._discarded = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -36,9 +37,21 @@
     def buffer_updated(self, count: int) -> None:
         self.inbound.filled(count)
         if not self._closing:
-            self.parse()
+            self.turn()
         else:
             self.inbound.skip(len(self.inbound))
+            self._discarded += count
+            if self._discarded > DISCARD and self.transport is not None:
+                self.transport.pause_reading()
+
+    def turn(self) -> None:
+        """Parse what there is. A fault in that ends this connection, which settles what is open on it, and no
+        other: whatever a peer can send must not do more."""
+        try:
+            self.parse()
+        except Exception:
+            self.fault(traceback.format_exc())
+            self.abort()
 
     def write(self, *parts: bytes) -> bool:
         """Send the parts, or keep them in the ring while the peer is slow; False where they do not fit."""
@@ -70,9 +83,8 @@
         return self._paused
 
     def backlog(self) -> int:
-        """Bytes that wait for the peer."""
-        waiting = self.transport.get_write_buffer_size() if self.transport is not None else 0
-        return waiting + len(self.outbound)
+        """Bytes that wait for the peer; none for one that is gone."""
+        return self.transport.get_write_buffer_size() + len(self.outbound) if self.transport is not None else 0
 
     def close(self) -> None:
         """Close once all that was written is sent."""
@@ -80,15 +92,6 @@
         if self.transport is not None and not len(self.outbound):
             self.transport.close()
 
-    def linger(self, deadlines: Deadlines, now: int) -> None:
-        """End with an error that the peer can still read: closing over bytes not read yet would reset it away."""
-        self._closing = True
-        self.inbound.skip(len(self.inbound))
-        self.wanted = 1
-        if self.transport is not None and not len(self.outbound):
-            self.transport.write_eof()
-        deadlines.add(now + LINGER, self.abort)
-
     def abort(self) -> None:
         self._closing = True
         if self.transport is not None:
@@ -96,6 +99,9 @@
 
     # --- for the subclasses
 
+    def fault(self, trace: str) -> None:
+        """An exception came out of `parse`."""
+
     def opened(self) -> None:
         """The connection is up."""
 
