--- a/threadhill/choice.py
+++ b/threadhill/choice.py
@@ -81,6 +81,9 @@
         self.purges: dict[str | int, int] = {}
         self.retries = self.burst = max(1.0, RETRY_BURST / self.crew)
         self.link, self.link_heard = 0.0, 0  # how full the location's link in is, and when that was told
+        self.handlers = {api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.ListNews: self.on_list,
+                         api.Purge: self.on_purge, api.TimerDue: self.on_timer, api.ClientGone: self.on_left,
+                         api.AnswerStarted: self.on_left}
 
     def start(self, now: int) -> list[api.Action]:
         """The instance starts; where the list must be asked for, subscribe."""
@@ -89,14 +92,14 @@
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Decide on one event; kinds that decide nothing here (probes, peers) are ignored."""
         self.now, self.actions = now, []
-        handlers = {api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.ListNews: self.on_list,
-                    api.Purge: self.on_purge, api.TimerDue: self.on_timer}
-        if isinstance(event, api.ClientGone | api.AnswerStarted):
-            self.jobs.pop(event.id, None)
-        elif type(event) in handlers:
-            handlers[type(event)](event)
+        handler = self.handlers.get(type(event))
+        if handler is not None:
+            handler(event)
         return self.actions
 
+    def on_left(self, event: api.ClientGone | api.AnswerStarted) -> None:
+        self.jobs.pop(event.id, None)
+
     def on_list(self, news: api.ListNews) -> None:
         if news.kind is not api.ListKind.FAILED:
             self.fleet.update(news, ROOM_FIRST)
--- a/threadhill/core/deadlines.py
+++ b/threadhill/core/deadlines.py
@@ -16,6 +16,7 @@
     def __init__(self, arm: Callable[[int | None], None], fault: Callable[[Exception], None]) -> None:
         self._arm, self._fault = arm, fault
         self._entries: SortedDict = SortedDict()  # (when, number) -> what to do
+        self._keys = self._entries.keys()
         self._number = 0
         self._armed: int | None = None
         self._sweeping = False
@@ -43,20 +44,20 @@
 
     def sweep(self, now: int) -> None:
         """Do all that is due, in order; what that adds for now or earlier is done in the same sweep."""
-        if self._sweeping:
-            return
+        if self._sweeping or not self._entries or self._keys[0][0] > now and self._armed is not None:
+            return  # nothing is due, and the timer stands
         self._sweeping = True
         try:
             self._sweep(now)
         finally:
             self._sweeping = False
-        head = self._entries.keys()[0][0] if self._entries else None
+        head = self._keys[0][0] if self._entries else None
         if head != self._armed:
             self._set(head)
 
     def _sweep(self, now: int) -> None:
         while self._entries:
-            key = self._entries.keys()[0]
+            key = self._keys[0]
             if key[0] > now:
                 break
             due = self._entries.pop(key)
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -17,7 +17,7 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Ask:
     """What a front has taken from a client."""
 
@@ -36,7 +36,7 @@
     hand_over: bool = False  # the client is to be told a server, and goes there itself
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Answer:
     """What a front is given for the client; `same` says that the client's own copy is the one."""
 
@@ -48,7 +48,7 @@
     server: int = -1  # of a request that is handed over: the server to go to
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Order:
     """One attempt, as it is to be sent to one server."""
 
@@ -61,7 +61,7 @@
     keep: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Ended:
     """How an attempt ended."""
 
--- a/threadhill/interface.py
+++ b/threadhill/interface.py
@@ -211,7 +211,7 @@
     version: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Request:
     """A client asks; exactly one final answer is owed."""
 
@@ -238,7 +238,7 @@
     took: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AttemptEnded:
     """The one outcome of one attempt."""
 
@@ -260,7 +260,7 @@
     id: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class TimerDue:
     """A timer that was set has come due."""
 
@@ -308,7 +308,7 @@
     limit: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Fetch:
     """An attempt that may fill: from where, kept at what rank, and how old a copy will do."""
 
@@ -330,7 +330,7 @@
     hold: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Refuse:
     """Final answer: turned away, a retry does no harm."""
 
@@ -353,7 +353,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SetTimer:
     """Ask for a TimerDue."""
 
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -103,8 +103,9 @@
 
     @property
     def usable(self) -> bool:
-        up = self.transport is not None and not self._closing and not self.transport.is_closing()
-        return up and not self.suspect and not self.stalled()
+        if self.suspect or self._closing or self.transport is None or self.transport.is_closing():
+            return False
+        return not len(self.inbound) and self._head is None or not self.stalled()
 
     def carries(self, id: str) -> bool:
         """Whether an answer under this id may come here that is not a new attempt's."""
@@ -199,13 +200,16 @@
 
     def _pick(self, id: str) -> Wire | None:
         """An idle connection, the last used first; where no more may be dialled, the one with the fewest out."""
-        good = [wire for wire in self.wires if wire.usable and not wire.slow]
-        fit = [wire for wire in good if not wire.carries(id)]
-        idle = [wire for wire in fit if not wire.open]
-        if idle:
-            return max(idle, key=lambda wire: wire.idle_since)
+        last = None
+        for wire in self.wires:
+            if not wire.open and (last is None or wire.idle_since > last.idle_since):
+                last = wire if wire.usable and not wire.slow and not wire.carries(id) else last
+        if last is not None:
+            return last
         if self._may_dial():
             return None
+        good = [wire for wire in self.wires if wire.usable and not wire.slow]
+        fit = [wire for wire in good if not wire.carries(id)]
         if good and not fit:  # all have carried this id: the one with the least on it makes room
             spare = min(good, key=lambda wire: len(wire.open))
             if not spare.open:
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -13,6 +13,7 @@
 
 LINE = 32  # bytes of a length line at most
 WORDS = 5  # of a message: verb, tag, class, fields, body
+MESSAGE = 512  # bytes that a message without a body has at most, as a rule
 WORD = 1_024  # bytes of a word at most; of the last one BODY
 BODY = 48_000
 OPEN = 32  # requests that one connection may have open
@@ -85,6 +86,43 @@
                token, _field(fields, "mine", PLAIN), body)
 
 
+def _length(data: bytes, at: int, mark: int) -> tuple[int, int] | None:
+    """The number on the line there and where the next one begins; None while it is not whole."""
+    end = data.find(b"\r\n", at, at + LINE)
+    if end < 0 and len(data) - at < LINE and (len(data) == at or data[at] == mark):
+        return None
+    digits = data[at + 1 : end]
+    if end < 0 or data[at] != mark or not digits.isdigit():
+        raise Malformed(f"Protocol error: expected '{chr(mark)}' and a length")
+    return int(digits), end + 2
+
+
+def read_message(data: bytes) -> tuple[list[bytes] | None, int]:
+    """The words of the first message and its length; None and how much is needed while it is not whole."""
+    line = _length(data, 0, 42)
+    if line is None:
+        return None, 1
+    count, at = line
+    if not 1 <= count <= WORDS:
+        raise Malformed("Protocol error: invalid multibulk length")
+    words: list[bytes] = []
+    while len(words) < count:
+        line = _length(data, at, 36)
+        if line is None:
+            return None, 1
+        size, at = line
+        if size > (BODY if len(words) == WORDS - 1 else WORD):
+            raise Malformed("Protocol error: invalid bulk length")
+        end = at + size
+        if len(data) < end + 2:
+            return None, end + 2
+        if data[end : end + 2] != b"\r\n":
+            raise Malformed("Protocol error: a bulk string does not end where it should")
+        words.append(data[at:end])
+        at = end + 2
+    return words, at
+
+
 class Platform:
     """What the connections of this front share."""
 
@@ -111,8 +149,6 @@
         super().__init__(door, BODY + WORDS * (WORD + LINE), front.all_outbound)
         self.front = front
         self.open: dict[int, tuple[int, str]] = {}  # tag -> the core's handle, -1 until it is known, and the id
-        self._words: list[bytes] = []
-        self._expected = 0  # words of the message under way; 0 before its first line
         self._reading = True
         self._held = False  # parsing goes on in another turn
         self._faulty = 0  # turns on end with messages that could not be used
@@ -125,7 +161,7 @@
         return bool(self.open) or self.backlog() > 0
 
     def midway(self) -> bool:
-        return self._reading and not self._held and (len(self.inbound) > 0 or self._expected > 0)
+        return self._reading and not self._held and len(self.inbound) > 0
 
     def _forget(self, tag: int) -> None:
         """The client waits no more for this one, if it did."""
@@ -139,7 +175,16 @@
         the others, and longer each time where some could not be used: who sends such at full speed is slowed down."""
         faults = taken = 0
         try:
-            while taken < TURN and self._reading and not self._closing and (message := self._message()) is not None:
+            while taken < TURN and len(self.inbound) and self._reading and not self._closing:
+                # Most messages are short: the ring is looked at as far as one such reaches, then whole.
+                message, size = read_message(self.inbound.peek(MESSAGE))
+                if message is None and len(self.inbound) > MESSAGE:
+                    message, size = read_message(self.inbound.peek(len(self.inbound)))
+                if message is None:
+                    self.wanted = size
+                    break
+                self.inbound.skip(size)
+                self.wanted = 1
                 taken += 1
                 self.spoken()
                 faults += not self._take(message)
@@ -171,46 +216,6 @@
         if self._reading and not self._closing and self.transport is not None:
             self.turn()
 
-    def _number_line(self, mark: bytes) -> int | None:
-        head = self.inbound.peek(LINE)
-        end = head.find(b"\r\n")
-        if end < 0:
-            if len(head) >= LINE or (head and head[:1] != mark):
-                raise Malformed(f"Protocol error: expected '{mark.decode()}'")
-            return None
-        digits = head[1:end]
-        if head[:1] != mark or not digits.isdigit():
-            raise Malformed(f"Protocol error: expected '{mark.decode()}' and a length")
-        self.inbound.skip(end + 2)
-        return int(digits)
-
-    def _message(self) -> list[bytes] | None:
-        """The next whole message, None while it is under way. Words are kept as they come."""
-        if not self._expected:
-            count = self._number_line(b"*")
-            if count is None:
-                return None
-            if not 1 <= count <= WORDS:
-                raise Malformed("Protocol error: invalid multibulk length")
-            self._expected, self._words = count, []
-        while len(self._words) < self._expected:
-            if self.wanted == 1:
-                size = self._number_line(b"$")
-                if size is None:
-                    return None
-                if size > (BODY if len(self._words) == WORDS - 1 else WORD):
-                    raise Malformed("Protocol error: invalid bulk length")
-                self.wanted = size + 2
-            if len(self.inbound) < self.wanted:
-                return None
-            word = self.inbound.take(self.wanted)
-            if word[-2:] != b"\r\n":
-                raise Malformed("Protocol error: a bulk string does not end where it should")
-            self._words.append(word[:-2])
-            self.wanted = 1
-        self._expected = 0
-        return self._words
-
     def _take(self, words: list[bytes]) -> bool:
         """One whole message; whether it could be used."""
         verb = words[0].upper()
@@ -242,10 +247,10 @@
             self.front.log(f"request not usable: {error!r}")
             self._say(tag, Answer(Final.FAILED))
             return False
-        if any(rid == ask.rid for _, rid in self.open.values()):
-            # On a cache server's line the two could not be told apart, and neither could their answers.
-            raise Malformed("the id is in use")
         if ask.rid in self.front.rids:
+            # On a cache server's line the two could not be told apart, and neither could their answers.
+            if any(rid == ask.rid for _, rid in self.open.values()):
+                raise Malformed("the id is in use")
             self.front.engine.stats.count("malformed", "id in use")
             self._say(tag, Answer(Final.FAILED))
             return False
@@ -303,7 +308,7 @@
 
     def _throttle(self) -> None:
         """Read on only while the client reads what it is sent, and not during a pause."""
-        reading = not self._held and self.backlog() < BACKLOG
+        reading = not self._held and (not self._paused or self.backlog() < BACKLOG)
         if reading == self._reading or self.transport is None or self._closing:
             return
         self._reading = reading
--- a/threadhill/net/ring.py
+++ b/threadhill/net/ring.py
@@ -61,12 +61,15 @@
 
     def peek(self, count: int, skip: int = 0) -> bytes:
         """A copy of the first bytes, after those skipped; fewer where fewer are held."""
-        count = max(0, min(count, self._size - skip))
-        if not count:
+        count = min(count, self._size - skip)
+        if count <= 0:
             return b""
         begin = (self._start + skip) % len(self._buffer)
-        first = self._buffer[begin : begin + count]
-        return bytes(first if len(first) == count else first + self._buffer[: count - len(first)])
+        over = begin + count - len(self._buffer)  # bytes that stand at the buffer's beginning
+        with memoryview(self._buffer) as view:
+            if over <= 0:
+                return bytes(view[begin : begin + count])
+            return bytes(view[begin:]) + bytes(view[:over])
 
     def skip(self, count: int) -> None:
         """Let go of the first bytes."""
--- a/threadhill/net/serve.py
+++ b/threadhill/net/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import signal
 import time
@@ -29,6 +30,7 @@
 from threadhill.stats import Stats
 
 SERVE_ON = 700_000  # microseconds after SIGTERM in which requests still come and are taken
+GARBAGE = 10_000  # objects made, net of those freed, after which the collector looks for cycles
 ADMINS = 16  # connections to the administration API at once
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
 LONGEST = 3_000_000  # microseconds of the longest deadline, where the classes' are shorter
@@ -169,6 +171,10 @@
     async def main() -> None:
         await Proxy(config, operator).run()
 
+    # What is there now stays, and requests leave next to no cycles: the collector need not look often.
+    gc.freeze()
+    gc.set_threshold(GARBAGE, 20, 20)
+
     try:
         asyncio.run(main())
     except OSError as error:  # an address that is in use, or is not this machine's
--- a/threadhill/state.py
+++ b/threadhill/state.py
@@ -11,7 +11,7 @@
 MEMO_SIZE = 4_000  # names remembered with what was computed for them
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)  # looked up in lists: comparing every field of each is slow
 class Server:
     """A server of the list, as this router saw it."""
 
