Let a source's room for fills grow by a part of itself, so that rare late ones don't hold it

Measured: counters of every reason in the module. 1,964 of 3,600 requests in 4 s were turned into looks by guard 11 and 945 refused as missed, with 30 time-outs; the parents' rooms stood at 29 to 33 while they answered quickly.

Lines at fault: Router.settle_fill in choice.py. The room grew by 1/room for one in time and shrank by 5 % for a late one, so with 1 % of answers silent it stood still at about 44, however many were asked for; and a late one set it to what was out when it ended, which is little, as late ones end last. Now both are parts of the room: 1 % on, 5 % off.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -548,6 +548,19 @@
     assert source.fill_room > room and not script.router.filling.get((fills[0].id, 0))
 
 
+def test_rare_late_fills_do_not_hold_a_source_down_where_many_are_asked_for() -> None:
+    """Guards against a room that grew by ones and shrank by parts: one lost answer in fifty set it for good."""
+    script = Script(replace(SETTINGS, second_copies=True, tells=api.Tells.NONE), fleet(parents=(21,)))
+    source = script.router.fleet.servers[21]
+    ended = 0
+    for round in range(100):
+        out = [script.ask(f"o{round}-{n}")[0] for n in range(50)]
+        for sent in [a for a in out if isinstance(a, api.Fetch)]:
+            ended += sent.source == 21
+            script.end(sent, took=2 * SECOND if sent.source == 21 and ended % 50 == 10 else MS)
+    assert source.fill_room > 50
+
+
 def test_what_is_handed_over_spends_room_and_credit_and_tells_nothing_of_health() -> None:
     script = Script(entries=fleet(caches=(11,)))
     server = script.router.fleet.servers[11]
--- a/threadhill/choice.py
+++ b/threadhill/choice.py
@@ -42,6 +42,7 @@
 LOOKS = 3.0  # rooms that looks for what is held may fill
 FILLS_LEAST = 12.0  # fills that a source may always be asked for at once
 FILLS_SHRINK = 0.05  # part of that room taken off for a late one
+FILLS_GROW = 0.01  # part of it put on for one in time: it shrinks where more than one in six is late
 ROOM_SHRINKS = 0.1  # part of the room taken off for a refusal or an answer after the aim
 PATIENCE = 4.0  # an attempt's time-out in aims, while another may follow and the link is not jammed
 RETRY_SHARE = 0.05  # further attempts that each first try pays for
@@ -336,9 +337,9 @@
         source.fills = max(0, held - 1)
         late = job is not None and end.took > job.aim
         if end.outcome is Outcome.TIMED_OUT or end.outcome is Outcome.SERVED and late:
-            source.fill_room = max(FILLS_LEAST, min(source.fill_room or held, held) * (1 - FILLS_SHRINK))
+            source.fill_room = max(FILLS_LEAST, (source.fill_room or held) * (1 - FILLS_SHRINK))
         elif end.outcome is Outcome.SERVED and source.fill_room and held >= source.fill_room / 2:
-            source.fill_room += 1 / source.fill_room
+            source.fill_room += FILLS_GROW * source.fill_room
 
     def on_ended(self, end: api.AttemptEnded) -> None:
         server, job = self.fleet.servers.get(end.server), self.jobs.get(end.id)
