Ask a parent past its room for fills for what it holds, in place of leaving it out

Lines at fault: Router.route_read in choice.py, which returned (cache, cache) past the room. Now the parent is asked with HELD_ONLY, outside the room's count; a miss is refused at once like that of a look. The origin holds everything, so for it caches are still only looked at.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -539,15 +539,27 @@
         script.end(sent, took=2 * SECOND)
     assert source.fills == 0 and 1 <= source.fill_room < 24
     out = [script.ask(f"p{n}")[0] for n in range(30)]
-    fills = [a for a in out if isinstance(a, api.Fetch) and a.source == 21]
-    looks = [a for a in out if isinstance(a, api.Fetch) and a.source == a.server]
-    assert len(fills) == source.fills <= source.fill_room + 1 and looks
+    held = [a for a in out if isinstance(a, api.Fetch) and a.mode & api.FillMode.HELD_ONLY]
+    fills = [a for a in out if isinstance(a, api.Fetch) and a.source == 21 and a not in held]
+    assert len(fills) == source.fills <= source.fill_room + 1
+    # Past its room a parent still gives what it holds; what it lacks is refused at once, not tried again.
+    assert held and {a.source for a in held} == {21}
+    assert isinstance(script.end(held[0], Outcome.MISS)[0], api.Refuse)
     room = source.fill_room
     for sent in fills:
         script.end(sent, took=MS)
     assert source.fill_room > room and not script.router.filling.get((fills[0].id, 0))
 
 
+def test_past_its_room_the_origin_is_asked_for_no_fill() -> None:
+    """Guards against asking it only for what it holds: that is everything."""
+    script = Script(replace(SETTINGS, tells=api.Tells.NONE), fleet(parents=()))
+    script.router.fleet.origin.fill_room = 12.0
+    out = [script.ask(f"o{n}")[0] for n in range(30)]
+    assert [a.source == ORIGIN for a in out] == [True] * 12 + [False] * 18
+    assert not any(a.mode & api.FillMode.HELD_ONLY for a in out)
+
+
 def test_rare_late_fills_do_not_hold_a_source_down_where_many_are_asked_for() -> None:
     """Guards against a room that grew by ones and shrank by parts: one lost answer in fifty set it for good."""
     script = Script(replace(SETTINGS, second_copies=True, tells=api.Tells.NONE), fleet(parents=(21,)))
--- a/threadhill/choice.py
+++ b/threadhill/choice.py
@@ -194,6 +194,7 @@
 
     def route_read(self, job: Job) -> tuple[Server, Server] | None:
         """One of the first k of the object's order that are fit and have room; None if none may be asked."""
+        job.held_only = False
         ready = [s for s in self.fleet.in_order(job.ask.object, self.fleet.caches) if self.in_scope(job, s)]
         fit, source = self.fit(ready, job.work), self.source(job)
         if job.ask.hand_over:  # nothing comes back of it, so it is no trial of one that was ejected
@@ -222,8 +223,9 @@
         cache = pool[self.random.randrange(len(pool))]
         # Guard 9: a jammed link serves nobody in time, so the cache is asked only for what it holds. What is
         # small for its link time is still filled, as more answers fit.
-        if source is not None and source.fill_room and source.fills >= source.fill_room:
-            return cache, cache  # Guard 11
+        job.held_only = source is not None and bool(source.fill_room) and source.fills >= source.fill_room
+        if job.held_only and source is self.fleet.origin:  # Guard 11; the origin holds everything
+            return cache, cache
         excess = (self.link - LINK_JAM) / LINK_JAM * job.send / (self.usual_send.value or 1)
         if source is None or self.random.random() < max(excess, 1 - self.fill_chance(job, source)):
             return cache, cache
@@ -295,13 +297,14 @@
         for one in self.charge(job, server, source):
             if one.ejections:  # a trial: out again, for longer, unless it goes well
                 self.put_out(one)
-        if source is not server:
+        if source is not server and not job.held_only:
             source.fills += 1
             self.filling[job.ask.id, len(job.tried)] = source.entry.server
         if not server.unheard:
             server.unheard_since = self.now
         server.unheard += 1
         join, renew = FillMode.JOIN * self.set.joins, FillMode.RENEW * bool(job.cls.fresh)
+        held = FillMode.HELD_ONLY * (job.held_only and source is not server)
         limit = max(1, job.deadline - self.now - 2 * ANSWER_EARLY)  # before the timer, to be learnt from
         spare = len(job.tried) + 1 < self.set.max_attempts and self.retries >= 1 and self.link < LINK_JAM
         if spare and job.cls.effect is api.Effect.SAFE:
@@ -309,7 +312,7 @@
         job.tried.append((server.entry.server, source.entry.server))
         job.out, job.sent_at = True, self.now
         self.actions.append(api.Fetch(job.ask.id, server.entry.server, limit, self.age(job),
-                                      source.entry.server, FillMode(join | renew), 0 if job.write else 1))
+                                      source.entry.server, FillMode(join | renew | held), 0 if job.write else 1))
 
     def age(self, job: Job) -> int:
         """Guard 5: after a purge no older copy, until all have dropped theirs; else the class's limit."""
@@ -364,7 +367,7 @@
             return
         if end.outcome not in api.NEVER_RAN:
             job.may_have_run.append((end.server, job.sent_at))
-        if not (end.outcome is Outcome.MISS and source is server) and self.may_retry(job):
+        if not (end.outcome is Outcome.MISS and (source is server or job.held_only)) and self.may_retry(job):
             self.retries -= 1
             self.attempt(job)
         else:
--- a/threadhill/state.py
+++ b/threadhill/state.py
@@ -50,6 +50,7 @@
     avoid: set[int] = field(default_factory=set)  # servers blamed for its failed attempts
     may_have_run: list[tuple[int, int]] = field(default_factory=list)  # (server, when sent)
     out: bool = False
+    held_only: bool = False  # its source is asked only for what it holds
     sent_at: int = 0
     sized: bool = False  # its size is told
     large: bool = False  # against the mean of its class
