Make room at the door at once, and take in the kernel's queue before it shuts

Checked: the counters at exit: the proxies refused nothing of what they took; 913 connections opened in 7.7 s, 560 closed, 209 turned out, so 144 held, which was the door's limit.

Lines at fault, net/door.py: an idle connection was turned out only after a second, so newcomers waited in the kernel's queue; Door.shut closed over that queue 0.7 s after SIGTERM, which reset what the machine had accepted. Now the longest idle one goes at once (not while many have yet to speak), and the queue is taken in first. Clients may hold half of the descriptors: a crowd of them had a third and 16, while the caches' side used 30.

--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -440,6 +440,29 @@
         for _ in range(100):
             assert (await (await w.client()).get())[0] == "200"
         assert open not in asking.answers and not asking.task.done()  # who is owed an answer is not turned out
+        await until(lambda: w.counted("client", "turned out"))
+        assert not w.counted("client", "full")  # nobody had to wait for it
+
+    play(tmp_path, scene, sockets=96)
+
+
+def test_who_waits_at_a_full_door_is_answered_when_the_program_ends(tmp_path: Path) -> None:
+    """Guards against requests that are reset unheard: the machine accepted their connections, the program did not."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None if ask["nth"] == "1" else Box.serve_it(ask)
+        owed = [await w.client() for _ in range(48)]
+        for client in owed:
+            client.ask("license-buy", n=1, token="t", budget=2_500)
+        await until(lambda: w.counted("taken", "license-buy") == 48, "a door full of who is owed an answer")
+        late = [await w.client() for _ in range(10)]
+        tags = [client.ask(n=0) for client in late]
+        await until(lambda: w.counted("client", "full"), "the door to be full")
+        w.process.send_signal(signal.SIGTERM)
+        words = [(await client.answer(tag))[0] for client, tag in zip(late, tags, strict=True)]
+        assert set(words) <= {"200", "503"}
+        assert await asyncio.wait_for(w.process.wait(), 20) == 0
 
     play(tmp_path, scene, sockets=96)
 
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -54,7 +54,7 @@
     machine = mapping(raw.get("limits"), "limits")
     sockets = whole(machine.get("sockets"), "sockets") or 1_024
     spare = max(LEAST_SPARE, (whole(machine.get("memory_mb"), "memory_mb") or 192) - PROGRAM) << 20
-    clients = sockets // 3 + 16
+    clients = sockets // 2  # usual clients hold a third at most, and caches need few: the rest is for a crowd
     known = mapping(raw.get("known"), "known")
     seed = raw.get("seed") or "0"
     return Config(
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -19,7 +19,6 @@
 SILENT = 2_200_000  # microseconds in which a first message, or one that has begun, must be whole
 LINGER = 1_000_000  # microseconds in which a peer may read why it is thrown out
 YOUNG = 100_000  # microseconds in which nobody new is turned out: its first message may be on the way
-IDLE = 1_000_000  # microseconds without a message after which one with nothing open may be turned out
 LOOK = 250_000  # microseconds between looks for those that are silent
 FULL_AGAIN = 10_000  # microseconds until the door looks again for room
 SHORT_AGAIN = 100_000  # the same when the machine has no descriptors or memory left
@@ -126,9 +125,12 @@
         self._log(f"{self.name}: {trace}")
 
     def shut(self) -> None:
-        """Take nobody any more; who came in stays."""
+        """Take nobody any more; who came in stays. The machine has accepted who waits in its queue, and what they ask
+        counts as taken: closing over them would reset them unheard."""
         if self._socket is not None:
             self._loop.remove_reader(self._socket)
+            while self._take():
+                pass
             self._socket.close()
             self._socket = None
 
@@ -146,22 +148,31 @@
             if self._socket is None:
                 return
             if len(self.guests) + len(self._coming) >= self.most and not self._make_room():
+                self.engine.stats.count(self.name, "full")
                 self._pause(FULL_AGAIN)
                 return
-            try:
-                peer, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            if not self._take():
                 return
-            except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    raise
-                self._log(f"{self.name}: nobody taken for a while: {error}")
-                self._pause(SHORT_AGAIN)
-                return
-            peer.setblocking(False)
-            task = self._loop.create_task(self._welcome(peer))
-            self._coming.add(task)
-            task.add_done_callback(self._coming.discard)
+
+    def _take(self) -> bool:
+        """Take one who waits; whether there was one, and there may be another."""
+        try:
+            peer, _ = self._socket.accept()
+        except ConnectionAbortedError:
+            return True
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as error:
+            if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                raise
+            self._log(f"{self.name}: nobody taken for a while: {error}")
+            self._pause(SHORT_AGAIN)
+            return False
+        peer.setblocking(False)
+        task = self._loop.create_task(self._welcome(peer))
+        self._coming.add(task)
+        task.add_done_callback(self._coming.discard)
+        return True
 
     async def _welcome(self, peer: socket.socket) -> None:
         try:
@@ -178,12 +189,15 @@
                 return 0, guest.out_at
             if not guest.messages:
                 return (1, guest.since) if now - guest.since >= YOUNG else None
-            return (2, guest.last) if now - guest.last >= IDLE and not guest.owed() else None
+            return (2, guest.last) if not guest.owed() else None
 
         ranked = [(place, i, guest) for i, guest in enumerate(self.guests) if (place := rank(guest)) is not None]
         if not ranked:
             return False
         (kind, _), _, guest = min(ranked)
+        # Those that say nothing must not push out those that asked: where there are many, they are waited for.
+        if kind == 2 and sum(not guest.messages for guest in self.guests) > min(2 * TURN, self.most // 4):
+            return False
         self.engine.stats.count(self.name, "turned out")
         del self.guests[guest]  # its descriptor is closed in the next turn
         if kind == 2:
