Move the module to decision/ and the wiring to the top; load admin and DNS only where on

Need: a control plane comes next, and six imports led from net/ back up to admin, dns and config, so that every start on the platform loaded the administration API and the DNS front, though both are off there.

Change: choice, state, hashing and interface are threadhill/decision; net/serve.py is threadhill/serve.py; config.py keeps the platform's configuration, operators.py has the operator's file and is imported only where one is named. Reading of domain names as text, which dns and admin share, is hostnames.py.

--- a/tests/script.py
+++ b/tests/script.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from threadhill import interface as api
-from threadhill.choice import Router
+from threadhill.decision import interface as api
+from threadhill.decision.choice import Router
 
 MS = 1_000
 SECOND = 1_000_000
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -24,9 +24,9 @@
     origin,
     parent,
 )
-from threadhill import choice
-from threadhill import interface as api
-from threadhill.interface import Effect, Note, Outcome, Scope, State
+from threadhill.decision import choice
+from threadhill.decision import interface as api
+from threadhill.decision.interface import Effect, Note, Outcome, Scope, State
 
 NEVER_RAN = sorted(api.NEVER_RAN, key=lambda o: o.value)
 MAYBE_RAN = [Outcome.ERROR, Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CANCELLED]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -5,11 +5,11 @@
 import pytest
 
 from tests.script import CACHES, SETTINGS, cache
-from threadhill import interface as api
 from threadhill.core.clock import Clock
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.engine import Engine
 from threadhill.core.ports import Answer, Ask, Final
+from threadhill.decision import interface as api
 from threadhill.log import BURST, Log
 from threadhill.net.lines import read_report
 from threadhill.stats import Stats
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from threadhill import interface as api
 from threadhill import simhost
+from threadhill.decision import interface as api
 
 ROOT = Path(__file__).resolve().parent.parent
 LINES = (Path(__file__).parent / "recorded.jsonl").read_text(encoding="utf-8").splitlines()
--- a/threadhill/admin/document.py
+++ b/threadhill/admin/document.py
@@ -6,8 +6,7 @@
 from typing import Any
 
 from threadhill.core.tenants import Tenant
-from threadhill.dns.message import labels_of
-from threadhill.dns.names import BOXES
+from threadhill.hostnames import BOXES, labels_of
 
 NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")  # it stands as a label in DNS names
 MOST_TENANTS = 10_000
--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -30,10 +30,16 @@
 @app.command()
 def serve(operator: Operator = None) -> None:
     """Run one steering proxy, as LB_NAME, LB_LISTEN and LB_CONFIG say, until SIGTERM."""
-    from threadhill.net.serve import serve as run
+    from threadhill.serve import serve as run
 
     try:
-        run(config.load(os.environ), config.load_operator(operator))
+        loaded = config.load(os.environ)
+        if operator is None:
+            run(loaded, None)
+        else:
+            from threadhill.operators import load_operator
+
+            run(loaded, load_operator(operator))
     except config.BadConfig as error:
         _fail(error)
 
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -1,9 +1,7 @@
-"""The configuration: what LB_NAME, LB_LISTEN and LB_CONFIG tell, read once."""
+"""The platform's configuration: what LB_NAME, LB_LISTEN and LB_CONFIG tell, read once."""
 
 from __future__ import annotations
 
-import os
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -11,14 +9,10 @@
 
 import orjson
 
-from threadhill import interface as api
-from threadhill.admin.document import Invalid, read_tenants
-from threadhill.core.tenants import Tenant
-from threadhill.dns.front import DnsConfig
-from threadhill.dns.message import labels_of
+from threadhill.decision import interface as api
 from threadhill.net.journal import Event, read_event
 from threadhill.net.lines import WIRE, Limits
-from threadhill.settings import Malformed, address, mapping, read_settings, sequence, text, whole
+from threadhill.settings import Malformed, address, mapping, read_settings, sequence, whole
 
 PROGRAM = 26  # MB that the program takes by itself
 LEAST_SPARE = 6  # MB beside it that are counted on, whatever the limit
@@ -85,79 +79,3 @@
         return read_config(orjson.loads(Path(path).read_bytes()), environ)
     except (OSError, ValueError, Malformed) as error:
         raise BadConfig(f"{path}: {error}") from None
-
-
-@dataclass(frozen=True, slots=True)
-class AdminConfig:
-    """What the operator's file says of the administration API."""
-
-    listen: tuple[str, int]
-    token: str
-
-
-@dataclass(frozen=True, slots=True)
-class Operator:
-    """The operator's file: what is on besides the platform's front. Without one, nothing is."""
-
-    dns: DnsConfig | None = None
-    admin: AdminConfig | None = None
-    tenants: tuple[Tenant, ...] = ()
-
-
-def _table(raw: dict[str, Any], key: str, keys: set[str]) -> dict[str, Any] | None:
-    if key not in raw:
-        return None
-    table = mapping(raw[key], key)
-    for unknown in sorted(set(table) - keys):
-        raise Malformed(f"{key}.{unknown}: no such key")
-    return table
-
-
-def read_operator(raw: dict[str, Any], environ: Mapping[str, str], base: Path) -> Operator:
-    """The operator's file; a key that is not known is a fault, as it would else be silently without effect."""
-    for unknown in sorted(set(raw) - {"dns", "admin", "tenants"}):
-        raise Malformed(f"{unknown}: no such key")
-    dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections"})
-    admin = _table(raw, "admin", {"listen", "token_file", "token_env"})
-    try:
-        tenants = tuple(read_tenants(raw.get("tenants", [])))
-    except Invalid as error:
-        raise Malformed(str(error)) from None
-    return Operator(_read_dns(dns) if dns is not None else None,
-                    _read_admin(admin, environ, base) if admin is not None else None, tenants)
-
-
-def _read_dns(raw: dict[str, Any]) -> DnsConfig:
-    names = tuple(text(name, "dns.nameservers") for name in sequence(raw.get("nameservers"), "dns.nameservers"))
-    for name in names:
-        labels_of(name)
-    deadline = whole(raw.get("deadline_ms"), "dns.deadline_ms") or 1_000
-    connections = whole(raw.get("connections"), "dns.connections") or 64
-    if not 0 < deadline <= 60_000 or not 0 < connections <= 1_024:
-        raise Malformed("dns: deadline_ms or connections is out of range")
-    return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections)
-
-
-def _read_admin(raw: dict[str, Any], environ: Mapping[str, str], base: Path) -> AdminConfig:
-    if ("token_file" in raw) == ("token_env" in raw):
-        raise Malformed("admin: name either token_file or token_env")
-    if "token_file" in raw:
-        token = (base / text(raw["token_file"], "admin.token_file")).read_text().strip()
-    else:
-        token = environ.get(text(raw["token_env"], "admin.token_env"), "")
-    if len(token) < 16:
-        raise Malformed("admin: the token has under 16 characters")
-    listen = address(raw.get("listen"), "admin.listen")
-    if not listen[0].startswith("127.") and listen[0] != "::1":
-        raise Malformed("admin.listen: the API speaks plain HTTP and listens on loopback only")
-    return AdminConfig(listen, token)
-
-
-def load_operator(path: Path | None, environ: Mapping[str, str] = os.environ) -> Operator:
-    """Read the operator's file, if there is one."""
-    if path is None:
-        return Operator()
-    try:
-        return read_operator(tomllib.loads(path.read_text()), environ, path.parent)
-    except (OSError, ValueError, Malformed) as error:
-        raise BadConfig(f"{path}: {error}") from None
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -10,13 +10,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from threadhill import interface as api
-from threadhill.choice import Router
 from threadhill.core.clock import Clock
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.ports import Answer, Ask, Caches, Ended, Final, Front, Order
 from threadhill.core.slots import Slots
 from threadhill.core.tenants import Tenants
+from threadhill.decision import interface as api
+from threadhill.decision.choice import Router
 from threadhill.stats import Stats
 
 
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
-from threadhill import interface as api
+from threadhill.decision import interface as api
 
 
 class Final(Enum):
--- a/threadhill/choice.py
+++ b/threadhill/decision/choice.py
@@ -1,6 +1,6 @@
 """The decisions of one router instance: which cache, which source, how old a copy, when to give up.
 
-Interface: threadhill/interface.py. The ordinary path follows Xia et al.: count an object's rate, one more
+Interface: threadhill/decision/interface.py. The ordinary path follows Xia et al.: count an object's rate, one more
 copy on the next cache of its hash order when the rate per copy passes a threshold, requests uniformly over the
 copies. Guards are numbered as in docs/design.md. Nothing but settings, events and the seed decides.
 """
@@ -10,9 +10,9 @@
 import math
 import random
 
-from threadhill import interface as api
-from threadhill.interface import FillMode, Note, Outcome
-from threadhill.state import Fleet, Job, Mean, Rate, Server, Tally, remember
+from threadhill.decision import interface as api
+from threadhill.decision.interface import FillMode, Note, Outcome
+from threadhill.decision.state import Fleet, Job, Mean, Rate, Server, Tally, remember
 
 SECOND = 1_000_000  # microseconds
 INTERVAL = SECOND  # microseconds over which a request rate is counted, as the design page sets it
--- a/threadhill/state.py
+++ b/threadhill/decision/state.py
@@ -1,11 +1,11 @@
-"""What one router instance remembers: data, look-ups and running means, decided on in threadhill.choice."""
+"""What one router instance remembers: data, look-ups and running means, decided on in threadhill.decision.choice."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from threadhill import interface as api
-from threadhill.hashing import mix, number_of
+from threadhill.decision import interface as api
+from threadhill.decision.hashing import mix, number_of
 
 LONGEST_GAP = 60  # empty intervals counted one by one; more change nothing
 MEMO_SIZE = 4_000  # names remembered with what was computed for them
--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -13,7 +13,8 @@
 from threadhill.core.slots import Slots
 from threadhill.dns import message as dns
 from threadhill.dns.message import Code, Query, Record, Response, Type
-from threadhill.dns.names import BOXES, Kind, Place, place, zone_of
+from threadhill.dns.names import Kind, Place, place, zone_of
+from threadhill.hostnames import BOXES, labels_of
 
 GRANT = 200_000  # microseconds in which a server named by an SRV record may be looked up; under the drain limit
 GRANTS = 4_096  # of them remembered at most
@@ -123,7 +124,7 @@
         if query.type != Type.SRV:
             fits = address is not None and address.type == query.type
             return Response(answers=[address]) if fits else self._nothing(pending.place.zone)
-        target = dns.pack_name((name, BOXES, *dns.labels_of(pending.place.zone)))
+        target = dns.pack_name((name, BOXES, *labels_of(pending.place.zone)))
         self._grant(name, server)
         srv = Record(Type.SRV, struct.pack("!3H", 0, 0, port) + target)
         more = [] if address is None else [Record(address.type, address.data, target)]
@@ -161,7 +162,7 @@
         if at.kind is Kind.APEX and query.type == Type.SOA:
             return Response(answers=[self._soa(at.zone, dns.QUESTION)])
         if at.kind is Kind.APEX and query.type == Type.NS and self.config.nameservers:
-            names = [dns.pack_name(dns.labels_of(name)) for name in self.config.nameservers]
+            names = [dns.pack_name(labels_of(name)) for name in self.config.nameservers]
             return Response(answers=[Record(Type.NS, name) for name in names])
         return self._nothing(at.zone)
 
@@ -170,8 +171,8 @@
         return Response(authority=[self._soa(zone)])
 
     def _soa(self, zone: str, owner: bytes = b"") -> Record:
-        labels = dns.labels_of(zone)
-        first = dns.labels_of(self.config.nameservers[0]) if self.config.nameservers else ("ns", *labels)
+        labels = labels_of(zone)
+        first = labels_of(self.config.nameservers[0]) if self.config.nameservers else ("ns", *labels)
         data = dns.pack_name(first) + dns.pack_name(("hostmaster", *labels))
         serial = struct.pack("!I", self.engine.tenants.version & 0xFFFFFFFF)
         return Record(Type.SOA, data + serial + SOA_TIMES, owner or dns.pack_name(labels))
--- a/threadhill/dns/message.py
+++ b/threadhill/dns/message.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from threadhill.hostnames import MOST_LABEL, MOST_NAME
+
 HEADER = struct.Struct("!6H")
 POINTER = 0xC0
 QUESTION = b"\xc0\x0c"  # a pointer to the question's name
 IN = 1
 PLAIN_UDP = 512  # bytes of a UDP response without EDNS
 OUR_UDP = 1_232  # what the answering side takes and sends with it
-MOST_NAME = 255
-MOST_LABEL = 63
 DO = 0x8000
 
 
@@ -104,13 +104,6 @@
     return packed + b"\0"
 
 
-def labels_of(text: str) -> tuple[str, ...]:
-    """A written name as labels in lower case; ValueError where it is none."""
-    labels = tuple(text.rstrip(".").lower().split("."))
-    pack_name(labels)
-    return labels
-
-
 def _read_name(raw: bytes, at: int) -> tuple[tuple[str, ...], int]:
     """The name there and where it ends; pointers lead backwards only, so that none can loop."""
     labels: list[str] = []
--- a/threadhill/dns/names.py
+++ b/threadhill/dns/names.py
@@ -6,9 +6,8 @@
 from enum import Enum
 
 from threadhill.core.tenants import Tenants
-from threadhill.dns.message import labels_of
+from threadhill.hostnames import BOXES, labels_of
 
-BOXES = "box"  # the label above servers' own names, so no tenant's name
 HEX = set("0123456789abcdef")
 MOST_PART = 10  # digits
 
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -9,9 +9,9 @@
 
 import orjson
 
-from threadhill import interface as api
 from threadhill.core.engine import Engine
-from threadhill.hashing import number_of
+from threadhill.decision import interface as api
+from threadhill.decision.hashing import number_of
 from threadhill.net.lines import CacheServers
 from threadhill.net.stream import Stream
 from threadhill.settings import Malformed, address, mapping, must_whole, number, sequence, text, whole
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from threadhill import interface as api
 from threadhill.core.engine import Engine
 from threadhill.core.ports import Ended, Order
+from threadhill.decision import interface as api
+from threadhill.decision.state import remember
 from threadhill.net.stream import Stream
-from threadhill.state import remember
 
 HEAD = 1_024  # bytes of an answer's line at most
 BODY = 256 << 10  # of its body; objects have up to 240,000
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -5,9 +5,9 @@
 import re
 from collections.abc import Callable
 
-from threadhill import interface as api
 from threadhill.core.engine import Engine
 from threadhill.core.ports import Answer, Ask, Final
+from threadhill.decision import interface as api
 from threadhill.net.door import Door, Guest
 from threadhill.net.stream import Stream
 
--- a/threadhill/net/serve.py
+++ b/threadhill/serve.py
@@ -10,18 +10,14 @@
 import traceback
 from collections.abc import Mapping
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
-from threadhill.admin.api import Api
-from threadhill.admin.http import HttpConnection
-from threadhill.config import AdminConfig, BadConfig, Config, Operator, load
+from threadhill.config import BadConfig, Config, load
 from threadhill.core.clock import Clock
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.engine import Engine
-from threadhill.dns.front import DnsConfig, DnsFront
-from threadhill.dns.transport import DnsServer
 from threadhill.log import Log
 from threadhill.net.door import Door
 from threadhill.net.journal import Journal
@@ -29,6 +25,10 @@
 from threadhill.net.resp import Platform
 from threadhill.stats import Stats
 
+if TYPE_CHECKING:  # each is imported where the operator's file turns it on: the platform's memory is small
+    from threadhill.dns.front import DnsConfig
+    from threadhill.operators import AdminConfig, Operator
+
 SERVE_ON = 700_000  # microseconds after SIGTERM in which requests still come and are taken
 GARBAGE = 10_000  # objects made, net of those freed, after which the collector looks for cycles
 ADMINS = 16  # connections to the administration API at once
@@ -42,7 +42,7 @@
 class Proxy:
     """One steering proxy on the running loop."""
 
-    def __init__(self, config: Config, operator: Operator) -> None:
+    def __init__(self, config: Config, operator: Operator | None) -> None:
         self.config, self.operator = config, operator
         self.loop = asyncio.get_running_loop()
         self.clock = Clock()
@@ -60,7 +60,7 @@
 
     def _limits(self, config: Config) -> Limits:
         """What the caches' side may use: the operator's fronts take their descriptors from it."""
-        dns, admin = self.operator.dns, self.operator.admin
+        dns, admin = (self.operator.dns, self.operator.admin) if self.operator is not None else (None, None)
         taken = (dns.connections if dns is not None else 0) + (ADMINS if admin is not None else 0)
         return replace(config.limits, descriptors=max(16, config.limits.descriptors - taken))
 
@@ -97,11 +97,12 @@
         self.journal.follow(self.config.journal)
         host, port = self.config.listen
         port = await self.front.door.listen(host, port)
-        self.engine.tenants.replace(list(self.operator.tenants))
-        if self.operator.dns is not None:
-            await self._serve_dns(self.operator.dns)
-        if self.operator.admin is not None:
-            await self._serve_admin(self.operator.admin)
+        if self.operator is not None:
+            self.engine.tenants.replace(list(self.operator.tenants))
+            if self.operator.dns is not None:
+                await self._serve_dns(self.operator.dns)
+            if self.operator.admin is not None:
+                await self._serve_admin(self.operator.admin)
         self.front.ready = True
         log.say(f"{self.config.name}: serving on {host}:{port}")
         await self.done.wait()
@@ -109,11 +110,17 @@
         self.report()
 
     async def _serve_dns(self, config: DnsConfig) -> None:
+        from threadhill.dns.front import DnsFront
+        from threadhill.dns.transport import DnsServer
+
         front = DnsFront(self.engine, config, frozenset(self.config.settings.classes), self.caches.where,
                          self.caches.families)
         log.say(f"dns: serving on {await DnsServer(front, log).listen()}")
 
     async def _serve_admin(self, config: AdminConfig) -> None:
+        from threadhill.admin.api import Api
+        from threadhill.admin.http import HttpConnection
+
         api = Api(self.engine.tenants, self.stats, lambda: log(f"tenants: version {self.engine.tenants.version}"))
         door = Door(self.engine, "admin client", ADMINS, lambda door: HttpConnection(config.token, api, door), log)
         host = config.listen[0]
@@ -167,7 +174,7 @@
         log.say(orjson.dumps(self.stats.table()).decode())
 
 
-def serve(config: Config, operator: Operator) -> None:
+def serve(config: Config, operator: Operator | None) -> None:
     async def main() -> None:
         await Proxy(config, operator).run()
 
--- a/threadhill/settings.py
+++ b/threadhill/settings.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from threadhill import interface as api
+from threadhill.decision import interface as api
 
 EFFECTS = {
     "read_like": api.Effect.SAFE,
--- a/threadhill/simhost.py
+++ b/threadhill/simhost.py
@@ -1,6 +1,6 @@
 """The wire on standard input and output: one Router per instance, nothing shared between them.
 
-Translates only; every decision is made in threadhill.choice.
+Translates only; every decision is made in threadhill.decision.choice.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from threadhill import interface as api
-from threadhill.choice import Router
+from threadhill.decision import interface as api
+from threadhill.decision.choice import Router
 from threadhill.settings import Malformed, mapping, must_whole, number, one_of, read_settings, sequence, text, whole
 
 OUTCOMES = {
