--- /dev/null
+++ b/tests/test_plans.py
@@ -0,0 +1,324 @@
+"""Files, planner and forecast: everything of plan and apply that needs no socket."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.world import ROOT
+from threadhill.plans import configuration, fmt, forecast, planner, rules, saved, syntax
+from threadhill.plans.configuration import Resource
+from threadhill.plans.faults import Invalid
+from threadhill.plans.planner import Observed
+from threadhill.plans.rules import Fleet, Phase, Record
+
+EXAMPLE = ROOT / "deploy" / "example"
+BASE = (EXAMPLE / "fleet.hcl").read_text()
+
+
+def read(text: str, **given: object) -> dict[str, Resource]:
+    faults: list = []
+    blocks = syntax.parse(text, "x.hcl", faults)
+    if faults:
+        raise Invalid(faults)
+    return configuration.evaluate(blocks, given)
+
+
+def value_of(expression: str, **names: object) -> object:
+    faults: list = []
+    attributes = syntax.parse_values(f"a = {expression}", "x", faults)
+    if faults:
+        raise Invalid(faults)
+    return attributes["a"].value(configuration.Scope(configuration.nothing, names))
+
+
+@pytest.mark.parametrize(("expression", "value"), [
+    ("1 + 2 * 3 - 4 / 2", 5), ("(1 + 2) * 3", 9), ("-7 % 3", -1), ("!true || 1 < 2 && 2 <= 2", True),
+    ('"a${1 + 1}b${true}$${c}"', "a2btrue${c}"), (r'"q\"\n\u00e9"', 'q"\né'),
+    ("[for i in range(3) : i * i]", [0, 1, 4]),
+    ('{for k, v in {a = 1, b = 2} : "x-${k}" => v if v > 1}', {"x-b": 2}), ("x > 2 ? [1] : [2]", [1]),
+    ('format("%03d-%s%%", 7, "z")', "007-z%"), ('merge({a = 1}, {a = 2, "b c" = 3})', {"a": 2, "b c": 3}),
+    ('{a = [10, 20]}.a[1]', 20), ('join("-", toset(["b", "a", "b"]))', "a-b"),
+    ("<<-T\n  one\n   two\n  T\n", "one\n two\n"),
+    ('lookup({a = 1}, "b", 9)', 9), ("flatten([[1, [2]], 3])", [1, 2, 3]),
+    ('tonumber("12") + ceil(1.2)', 14), ("null", None)])
+def test_expressions(expression: str, value: object) -> None:
+    assert value_of(expression, x=3) == value
+
+
+@pytest.mark.parametrize(("expression", "said"), [
+    ("nobody", "there is no `nobody`"), ("x[*].y", "not supported"), ('"%{if true}a%{endif}"', "not supported"),
+    ("f(1)", "there is no function `f`"), ("max([1]...)", "not supported"), ("1 / 0", "division"),
+    ('1 + "a"', "a number"),
+    ("[1][5]", "no item 5"), ("{a = 1}.b", "no 'b'"), ("range(99999999)", "over"), ('{a = 1, "a" = 2}', "twice"),
+    ('format("%d", "x")', "takes a number"), ("true ? 1", "HCL"), ("<<T\n${x}\nT\n", "plain text")])
+def test_what_is_not_supported_is_a_fault(expression: str, said: str) -> None:
+    with pytest.raises((Invalid, configuration.EvalError), match="(?s).*" + said.replace("(", r"\(")):
+        value_of(expression, x=[1])
+
+
+def test_all_faults_are_told_at_once_with_file_line_and_name() -> None:
+    text = BASE + '''
+box "costa-0" {
+  node    = node.nowhere
+  address = "127.0.0.1:19010"
+  colour  = 1
+}
+parent "a" {
+  hub        = hub.sierra
+  address    = "127.0.0.1:70000"
+  fills_from = [box.costa["1"]]
+}
+parent "b" {
+  hub        = hub.sierra
+  address    = "127.0.0.1:19111"
+  fills_from = [parent.c]
+}
+parent "c" {
+  hub        = hub.sierra
+  address    = "127.0.0.1:19111"
+  fills_from = [parent.b]
+}
+tenant "x" {
+  zones = ["route.example", "a..b"]
+}
+thing "y" {}
+'''
+    line = BASE.count("\n")
+    with pytest.raises(Invalid) as caught:
+        read(text, boxes=3, colour="red")
+    told = [(f.line - line if f.line else 0, f.name, f.text) for f in caught.value.faults]
+
+    def said(at: int, name: str, part: str) -> bool:
+        return any(l == at and n == name and part in t for l, n, t in told)  # noqa: E741
+
+    assert said(2, "box.costa-0", "stands twice")
+    assert said(9, "parent.a", "port")
+    assert said(10, "parent.a", "must name a parent or a library; box.costa-1 is a box")
+    assert said(15, "parent.b", "parent.b -> parent.c -> parent.b") and said(19, "parent.c", "is parent.b's already")
+    assert said(23, "tenant.x", "domain name") and said(25, "thing.y", "no such kind")
+    assert said(0, "colour", "no such variable")
+    with pytest.raises(Invalid) as caught:
+        read('node "n" {\n  hub = hub.none\n  lod = 1\n}\nvariable "v" {}\nlocals {\n  a = local.b\n  b = local.a\n}')
+    text = str(caught.value)
+    assert all(part in text for part in ("x.hcl:2: node.n: hub: there is no 'none'", "x.hcl:3: node.n: lod: no such",
+                                         "x.hcl:5: variable.v", "local.a needs itself: a -> b -> a"))
+
+
+def test_a_syntax_error_in_one_file_hides_none_in_another(tmp_path: Path) -> None:
+    (tmp_path / "a.hcl").write_text('hub "h" {\n  x = = 1\n}\n')
+    (tmp_path / "b.hcl").write_text('hub "h" {\n  x = 1\n  x = 2\n}\n')
+    (tmp_path / "c.hcl").write_text('hub "h" {\n')
+    with pytest.raises(Invalid) as caught:
+        syntax.read(tmp_path)
+    assert [(Path(f.file).name, f.line) for f in caught.value.faults][:2] == [("a.hcl", 2), ("b.hcl", 3)]
+    assert {Path(f.file).name for f in caught.value.faults} == {"a.hcl", "b.hcl", "c.hcl"}
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.text(max_size=200) | st.lists(st.sampled_from(
+    ['box "a" {', "}", "\n", "a = ", "[", "]", "1", '"${', "x.y", "<<E\n", "E\n", "for", " : ", "{", "?", "%{"]),
+    max_size=25).map("".join))
+def test_no_text_is_more_than_a_fault(text: str) -> None:
+    with contextlib.suppress(Invalid):
+        configuration.evaluate(syntax.parse(text, "x", []))
+
+
+def test_canonical_form_changes_white_space_only_and_once() -> None:
+    messy = ('locals {\n\n\n  a=1 # one\n long_name   =   "x = y"\n  m = {\n a = 1\n  bb = [1,\n2]\n}\n'
+             ' t = <<E\n  kept  \nE\n'
+             '/* a\n   b */\n}\n\n\nhub   "h" {}\n\n')
+    once = fmt.canonical(messy)
+    assert fmt.canonical(once) == once and "  a         = 1 # one\n  long_name = \"x = y\"\n" in once
+    assert "  kept  \nE\n" in once and "    bb = [1,\n      2]\n" in once
+    blocks = [syntax.parse(text, "x", []) for text in (messy, once)]
+    assert len({str([(b.kind, b.labels, sorted(b.attributes)) for b in side]) for side in blocks}) == 1
+    assert fmt.canonical(BASE) == BASE
+
+
+# --- the planner
+
+def settled(resources: dict[str, Resource]) -> Fleet:
+    """The state in which these are all made and confirmed."""
+    wanted = planner.with_configurations(resources)
+    fleet = Fleet.of([planner.record_of(r, warm=True) for r in wanted.values()], rules.places(wanted.values()))
+    planner.settle(fleet)
+    return fleet
+
+
+def test_four_boxes_come_in_as_many_rounds_as_the_node_can_warm() -> None:
+    plan = planner.plan(read(BASE, boxes=7), settled(read(BASE)).records.values())
+    assert [(s.id, s.wave) for s in plan.steps] == [
+        ("add box.costa-3", 0), ("add box.costa-4", 1), ("add box.costa-5", 1), ("add box.costa-6", 2)]
+
+
+def test_upper_caches_come_before_the_boxes_that_fill_from_them_and_go_after() -> None:
+    more = BASE.replace('toset(["a", "b"])', 'toset(["a", "b", "c"])').replace(
+        '"a" ? 1 : 2', '"a" ? 1 : each.key == "b" ? 2 : 3')
+    plan = planner.plan(read(more, boxes=4), settled(read(BASE)).records.values())
+    at = {s.id: s.wave for s in plan.steps}
+    assert at["add parent.upper-c"] < at["add box.costa-3"] and "add parent.upper-c" in {
+        n for s in plan.steps if s.id == "add box.costa-3" for n in s.needs}
+    back = planner.plan(read(BASE), settled(read(more, boxes=4)).records.values())
+    at = {s.id: s.wave for s in back.steps}
+    assert at["update box.costa-0"] <= at["drain parent.upper-c"] < at["remove parent.upper-c"]
+    assert at["drain box.costa-3"] <= at["drain parent.upper-c"]
+
+
+def test_all_boxes_of_a_node_are_replaced_and_it_is_never_empty() -> None:
+    new = BASE.replace('box "costa"', 'box "nova"').replace("+ 10 +", "+ 20 +").replace("each.value < 3", "false")
+    fleet = settled(read(BASE))
+    plan = planner.plan(read(new), fleet.records.values())
+    assert not plan.blocked
+    assert {s.id for s in plan.steps} >= {"add box.nova-0", "drain box.costa-0", "remove box.costa-0"}
+    fleet.places = rules.places(read(new).values())
+    for wave in range(plan.waves):
+        for step in (s for s in plan.steps if s.wave == wave):
+            planner.begin(fleet, step)
+            assert fleet.warm("node.costa-1") >= 2
+        planner.settle(fleet)
+    assert sorted(r.name for r in fleet.records.values() if r.kind == "box") == ["nova-0", "nova-1", "nova-2"]
+
+
+def test_a_box_takes_the_address_of_one_that_goes_only_once_that_is_gone() -> None:
+    new = BASE.replace('box "costa"', 'box "nova"').replace("each.value < 3", "false")
+    plan = planner.plan(read(new), settled(read(BASE)).records.values())
+    at = {s.id: s.wave for s in plan.steps}
+    assert all(at[f"add box.nova-{i}"] > at[f"remove box.costa-{i}"] for i in range(3)) and not plan.blocked
+
+
+def test_the_last_box_of_a_node_stays_unless_the_file_says_so() -> None:
+    none = BASE.replace("range(var.boxes)", "range(0)")
+    plan = planner.plan(read(none), settled(read(BASE)).records.values())
+    assert plan.blocked and "must keep 1 warm" in " ".join(plan.blocked.values())
+    allowed = none.replace("  load = 0.5", "  load = 0.5\n  allow_empty = true")
+    plan = planner.plan(read(allowed), settled(read(BASE)).records.values())
+    assert not plan.blocked and sum(s.action == "remove" for s in plan.steps) == 3
+
+
+def test_settings_reach_proxies_one_at_a_time_in_a_node() -> None:
+    def steps(old: str, new: str) -> list[tuple[str, int]]:
+        plan = planner.plan(read(BASE.replace(old, new)), settled(read(BASE)).records.values())
+        return [(s.id, s.wave) for s in plan.steps]
+
+    assert steps("client_kb_per_s = 4000", "client_kb_per_s = 5000") == [
+        ("set settings.settings", 0), ("set proxy.p-1", 1), ("set proxy.p-2", 2)]
+    assert steps("settle_s        = 1.0", "settle_s        = 2.0") == [("set settings.settings", 0)]
+
+
+def test_drift_is_told_apart_from_change() -> None:
+    observed = Observed(frozenset({"box.costa-1"}), {"proxy.p-2": "silent for 9.0 s"})
+    plan = planner.plan(read(BASE), settled(read(BASE)).records.values(), observed)
+    assert not plan.steps and [(d.id, d.observed) for d in plan.drift] == [
+        ("box.costa-1", "no live proxy reaches it"), ("proxy.p-2", "silent for 9.0 s")]
+    assert "Nothing to do" in saved.told(saved.document(plan, {}, 1, 1))
+
+
+NODES, PARENTS = ("n1", "n2"), ("u1", "u2", "u3")
+A_CLASS = {"c": {"repeat": "safe", "wanted_ms": 1, "given_up_ms": 2, "worth": 1, "write": False}}
+
+
+@st.composite
+def installations(draw: st.DrawFn) -> dict[str, Resource]:
+    """Some installation of two nodes, up to three upper caches and up to five boxes a node, at few addresses."""
+    made = {"settings.settings": Resource("settings", "settings", {"classes": A_CLASS, "v": draw(st.integers(0, 1))}),
+            "hub.h": Resource("hub", "h", {})}
+    free = draw(st.permutations([f"127.0.0.1:{i}" for i in range(1, 24)]))
+    server = {"size": 4.0, "cell": 0, "warm": False}
+
+    def put(kind: str, name: str, **attrs: object) -> None:
+        made[f"{kind}.{name}"] = Resource(kind, name, attrs)
+
+    put("library", "l", hub="hub.h", address="127.0.0.1:99", **server)
+    parents = draw(st.lists(st.sampled_from(PARENTS), min_size=1, unique=True))
+    for name in parents:
+        put("parent", name, hub="hub.h", address=free.pop(), fills_from=["library.l"], **server)
+    for node in NODES:
+        put("node", node, hub="hub.h", load=draw(st.sampled_from([0.2, 0.5, 0.8])), hits=0.65, link_room=1.3,
+            cold_at_once=None, allow_empty=False, link_kb_per_s=0.0)
+        for name in draw(st.lists(st.sampled_from("abcde"), min_size=1, unique=True)):
+            sources = sorted(draw(st.sets(st.sampled_from(parents))))
+            put("box", f"{node}-{name}", node=f"node.{node}", address=free.pop(),
+                fills_from=[f"parent.{s}" for s in sources], **server)
+        for i in range(draw(st.integers(0, 2))):
+            put("proxy", f"p-{node}-{i}", node=f"node.{node}", listen=f"127.0.1.{NODES.index(node)}:{i + 1}")
+    return made
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(installations(), installations(), st.randoms(use_true_random=False))
+def test_every_prefix_of_a_plan_keeps_the_rules_and_leaves_just_the_rest(
+        before: dict[str, Resource], after: dict[str, Resource], chance: random.Random) -> None:
+    fleet = settled(before)
+    plan = planner.plan(after, fleet.records.values())
+    fleet.places = rules.places(planner.with_configurations(after).values())
+    # A node that carries more than its new floor knows of may begin below it: it must only never sink further.
+    start = {name: fleet.warm(name) for name in fleet.places}
+    left, done = list(plan.steps), set()
+    while left:
+        first = {s.place: s for s in reversed(left)}  # no step of a place overtakes another
+        ready = [s for s in left if not set(s.needs) - done and planner.guard(fleet, s) is None
+                 and (s.place is None or first[s.place] is s)]
+        if not ready:  # confirmation is all that is missing
+            moved, known = planner.settle(fleet), len(done)
+            done = {s.id for s in plan.steps if s not in left}
+            assert moved or len(done) > known, "stuck in the middle of a plan"
+            continue
+        step = chance.choice(ready)
+        planner.begin(fleet, step)
+        left.remove(step)
+        if step.action in ("set", "unset", "update", "return", "remove"):
+            done.add(step.id)
+        assert not rules.broken(fleet)
+        for name, place in fleet.places.items():
+            assert fleet.warm(name) >= min(place.floor, start[name]) or name == "library"
+        addresses = [r.attrs["address"] for r in fleet.records.values() if "address" in r.attrs]
+        assert len(addresses) == len(set(addresses))
+        again = planner.plan(after, fleet.records.values())
+        assert {s.id for s in again.steps} | set(again.blocked) == {s.id for s in left} | set(plan.blocked)
+    planner.settle(fleet)
+    if not plan.blocked:
+        last = planner.plan(after, fleet.records.values())
+        assert not last.steps and not last.blocked
+        assert {r.id for r in fleet.records.values()} == set(after)
+
+
+def test_a_saved_plan_that_was_altered_by_a_byte_is_refused() -> None:
+    wanted = read(BASE, boxes=4)
+    document = saved.document(planner.plan(wanted, settled(read(BASE)).records.values()), wanted, 1, 1)
+    assert saved.check(json.loads(json.dumps(document))) == document
+    raw = json.dumps(document)
+    for at in range(0, len(raw), 97):
+        altered = raw[:at] + chr(ord(raw[at]) ^ 1) + raw[at + 1:]
+        try:
+            again = json.loads(altered)
+        except ValueError:
+            continue
+        if again != document:
+            with pytest.raises(saved.BadPlan):
+                saved.check(again)
+
+
+def test_the_forecast_is_the_modules_own_choice_and_adds_up() -> None:
+    told = forecast.before_and_after(read(BASE), read(BASE, boxes=5), ["node.costa-1"])["node.costa-1"]
+    for by in told.values():
+        for side in ("before", "after"):
+            assert abs(sum(cell[side] for cell in by.values()) - 1) < 0.01
+        assert len(by) == 5 and by["box.costa-4"]["before"] == 0 < by["box.costa-4"]["after"] < 0.5
+    assert told == forecast.before_and_after(read(BASE), read(BASE, boxes=5), ["node.costa-1"])["node.costa-1"]
+
+
+def test_a_server_that_drains_returns_and_one_that_was_drained_begins_anew() -> None:
+    wanted = read(BASE)
+    for phase, ids in ((Phase.DRAINING, ["return box.costa-2"]),
+                       (Phase.DRAINED, ["remove box.costa-2", "add box.costa-2"])):
+        fleet = settled(wanted)
+        old = fleet.records["box.costa-2"]
+        fleet.put(Record("box", old.name, old.attrs, phase, since=5))
+        assert [s.id for s in planner.plan(wanted, fleet.records.values()).steps] == ids
--- a/threadhill/admin/api.py
+++ b/threadhill/admin/api.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from threadhill.admin.document import Invalid, difference, read_tenant, read_tenants, write_tenant
 from threadhill.admin.http import Call, Problem
 from threadhill.core.tenants import Conflict, Tenant, Tenants
+from threadhill.documents import Invalid, difference, read_tenant, read_tenants, write_tenant
 from threadhill.stats import Stats
 
 
--- a/threadhill/admin/client.py
+++ b/threadhill/admin/client.py
@@ -9,8 +9,8 @@
 
 import orjson
 
-from threadhill.admin.document import difference, read_tenants
 from threadhill.core.tenants import Tenant
+from threadhill.documents import difference, read_tenants
 
 MARKS = {"add": "+", "remove": "-", "change": "~"}
 
--- a/threadhill/admin/http.py
+++ b/threadhill/admin/http.py
@@ -17,6 +17,7 @@
 REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found",
            405: "Method Not Allowed", 409: "Conflict", 411: "Length Required", 413: "Content Too Large",
            422: "Unprocessable Content", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+           503: "Service Unavailable", 507: "Insufficient Storage",
            501: "Not Implemented", 505: "HTTP Version Not Supported"}
 
 
@@ -72,9 +73,9 @@
 
     idle = IDLE
 
-    def __init__(self, token: str, handler: Handler, door: Door) -> None:
-        super().__init__(door, HEAD + BODY, 4 << 20)
-        self._token, self._handler = token, handler
+    def __init__(self, token: str, handler: Handler, door: Door, most_body: int = BODY) -> None:
+        super().__init__(door, HEAD + most_body, 4 * most_body)
+        self._token, self._handler, self._most = token, handler, most_body
         self._head: tuple[str, str, dict[str, str]] | None = None
         self._length = 0
 
@@ -107,6 +108,8 @@
             self._head = read_head(raw[:end])
             self._length = self._body_length(self._head[2])
             self.inbound.skip(end + 4)
+            # Before the body is taken in: who has no token gets no memory either.
+            self._authorize(self._head[2])
             if self._head[2].get("expect", "").lower() == "100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.wanted = max(1, self._length)
@@ -118,22 +121,20 @@
         keep = headers.get("connection", "").lower() != "close"
         allow = ""
         try:
-            self._authorize(headers)
             status, body = self._handler(call)
         except Problem as problem:
             status, body, allow = problem.status, problem.body, problem.allow
         self._send(status, body, keep, allow)
         return True
 
-    @staticmethod
-    def _body_length(headers: dict[str, str]) -> int:
+    def _body_length(self, headers: dict[str, str]) -> int:
         if "transfer-encoding" in headers:
             raise Problem(501, "no-transfer-encoding", "send the body with a Content-Length")
         text = headers.get("content-length", "0")
         if not text.isascii() or not text.isdigit():
             raise Problem(400, "bad-request", "Content-Length is not a number")
-        if len(text) > 9 or int(text) > BODY:
-            raise Problem(413, "body-too-large", f"the body has over {BODY} bytes")
+        if len(text) > 9 or int(text) > self._most:
+            raise Problem(413, "body-too-large", f"the body has over {self._most} bytes")
         return int(text)
 
     def _authorize(self, headers: dict[str, str]) -> None:
--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -1,4 +1,8 @@
-"""The command line."""
+"""The command line. Every command imports what it needs when it is called: a proxy's start must stay small.
+
+Exit codes (cli_codes.py): 0 done, or nothing to do; 1 an error that is told; 2 `plan`: there is something to do (with
+tenants' files, and for words that can't be used: an error); 3 an apply that halted and stays open; 4 a conflict.
+"""
 
 from __future__ import annotations
 
@@ -10,26 +14,56 @@
 import typer
 
 from threadhill import __version__, config
+from threadhill.cli_codes import CHANGES, ERROR
 
-app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
-                  help="A steering proxy for caches that fill from parents and an origin.")
-
-Address = Annotated[str, typer.Option("--admin", envvar="THREADHILL_ADMIN", help="host:port of the API")]
-Token = Annotated[str, typer.Option("--token", envvar="THREADHILL_TOKEN", help="its bearer token")]
-File = Annotated[Path, typer.Argument(help="TOML or JSON with the tenants that there should be")]
+app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False, rich_markup_mode=None,
+                  help="A steering proxy for caches that fill from parents and an origin, and its control plane.")
+state_app = typer.Typer(no_args_is_help=True, help="Snapshots of a control plane's store.")
+app.add_typer(state_app, name="state")
 
+Address = Annotated[str, typer.Option("--admin", envvar="THREADHILL_ADMIN", help="host:port of a proxy's API")]
+Token = Annotated[str, typer.Option("--token", envvar="THREADHILL_TOKEN", help="the bearer token")]
+Optional = Annotated[str, typer.Option("--admin", envvar="THREADHILL_ADMIN",
+                                       help="host:port of a proxy's API, for a file of tenants")]
+ControlAt = Annotated[str, typer.Option("--control", envvar="THREADHILL_CONTROL",
+                                        help="host:port of the control plane")]
 Operator = Annotated[Path | None, typer.Option(envvar="THREADHILL_OPERATOR",
                                                help="the operator's file: DNS front, API, tenants")]
+Json = Annotated[bool, typer.Option("--json", help="print JSON")]
+Vars = Annotated[list[str], typer.Option("--var", "-var", help="NAME=VALUE of a variable; may be given again")]
+VarFiles = Annotated[list[Path], typer.Option("--var-file", "-var-file", help="a file of NAME = VALUE lines")]
+Data = Annotated[Path, typer.Option("--data", envvar="THREADHILL_DATA", help="the control plane's folder")]
+HERE = "127.0.0.1:7400"
 
 
-def _fail(error: Exception) -> NoReturn:
+def _fail(error: object, code: int = ERROR) -> NoReturn:
     typer.echo(f"threadhill: {error}", err=True)
-    raise typer.Exit(2)
+    raise typer.Exit(code)
+
+
+def _out(value: Any) -> None:
+    typer.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
+
+
+def _is_tenants(path: Path) -> bool:
+    """Whether this is a file of tenants, in TOML or JSON, for a proxy's own API."""
+    if path.suffix == ".toml":
+        return True
+    if path.suffix != ".json":
+        return False
+    try:
+        raw = orjson.loads(path.read_bytes())
+    except (OSError, ValueError):
+        return True  # read again there, with a message
+    return not (isinstance(raw, dict) and "threadhill_plan" in raw)
 
 
 @app.command()
 def serve(operator: Operator = None) -> None:
-    """Run one steering proxy, as LB_NAME, LB_LISTEN and LB_CONFIG say, until SIGTERM."""
+    """Run one steering proxy, as LB_NAME, LB_LISTEN and LB_CONFIG say, until SIGTERM.
+
+    Example: LB_CONFIG=data/proxies/p-1.json threadhill serve
+    """
     from threadhill.serve import serve as run
 
     try:
@@ -41,7 +75,7 @@
 
             run(loaded, load_operator(operator))
     except config.BadConfig as error:
-        _fail(error)
+        _fail(error, CHANGES)
 
 
 @app.command()
@@ -53,35 +87,179 @@
 @app.command()
 def stats(admin: Address, token: Token) -> None:
     """Print the counters of a running proxy as JSON. SIGUSR1 makes it print them itself."""
-    table = _asked(lambda client: client.call(admin, token, "GET", "/v1/stats"))
-    typer.echo(orjson.dumps(table, option=orjson.OPT_INDENT_2).decode())
+    _out(_tenants(lambda client: client.call(admin, token, "GET", "/v1/stats")))
+
+
+@app.command()
+def validate(path: Annotated[Path, typer.Argument(help="an HCL file, or a folder of them")], var: Vars = [],  # noqa: B006
+             var_file: VarFiles = [], json: Json = False) -> None:  # noqa: B006
+    """Check a configuration. Every fault is told at once, with file and line; exit 1 where there is one.
+
+    Example: threadhill validate deploy/example -var boxes=7
+    """
+    from threadhill.control import commands
+
+    commands.validate(path, var, var_file, json)
+
+
+@app.command()
+def fmt(path: Annotated[Path, typer.Argument(help="an HCL file, or a folder of them")],
+        check: Annotated[bool, typer.Option("--check", help="change nothing; exit 2 if a file would change")] = False,
+        ) -> None:
+    """Put files into canonical form, and name those that changed. Files that can't be read stay as they are."""
+    from threadhill.control import commands
+
+    commands.fmt(path, check)
+
+
+@app.command()
+def plan(path: Annotated[Path | None, typer.Argument(help="HCL file or folder; or TOML or JSON with tenants")] = None,
+         admin: Optional = "", token: Token = "", control: ControlAt = HERE, var: Vars = [],  # noqa: B006
+         var_file: VarFiles = [],  # noqa: B006
+         to: Annotated[int | None, typer.Option("--to", help="plan a return to this version, without files")] = None,
+         out: Annotated[Path | None, typer.Option("--out", help="save the plan, for `apply`")] = None,
+         why: Annotated[str, typer.Option("--why", help="kept with the version")] = "",
+         forecast: Annotated[bool, typer.Option(help="work out each box's share of requests")] = True,
+         rate: Annotated[float, typer.Option("--rate", help="requests a second at each node, for the forecast")] = 50.0,
+         json: Json = False) -> None:
+    """Print what applying the files would change. Exit 0: nothing; 2: something; 1: it can't be done or planned.
+
+    Examples: threadhill plan deploy/example -var boxes=7 --out release.plan
+              threadhill plan --to 3
+              threadhill plan tenants.toml --admin 127.0.0.1:5380   (a proxy's own tenants; always exit 0)
+    """
+    if path is not None and _is_tenants(path):
+        _told(_tenants(lambda client: client.plan(_needed(admin), token, path)), json)
+        return
+    from threadhill.control import commands
+
+    commands.plan(control, token, path, var, var_file, to, out, why, forecast, rate, json)
+
+
+@app.command()
+def apply(path: Annotated[Path | None, typer.Argument(help="a saved plan; HCL files; or a file of tenants")] = None,
+          admin: Optional = "", token: Token = "", control: ControlAt = HERE, var: Vars = [],  # noqa: B006
+          var_file: VarFiles = [],  # noqa: B006
+          on: Annotated[int | None, typer.Option("--on", help="tenants: the version that was planned on")] = None,
+          resume: Annotated[bool, typer.Option("--resume", help="carry on with the apply that is open")] = False,
+          abandon: Annotated[bool, typer.Option("--abandon", help="end the open apply where it stands")] = False,
+          why: Annotated[str, typer.Option("--why", help="kept with the version")] = "",
+          json: Json = False) -> None:
+    """Carry out a saved plan, exactly that or nothing; or plan files and carry that out.
+
+    Exit 0: done; 3: halted, the apply stays open; 4: the state has moved on, or somebody else is applying.
+
+    Examples: threadhill apply release.plan
+              threadhill apply --resume
+    """
+    if path is not None and _is_tenants(path):
+        _told(_tenants(lambda client: client.apply(_needed(admin), token, path, on)), json)
+        return
+    from threadhill.control import commands
+
+    commands.apply(control, token, path, var, var_file, resume, abandon, why, json)
+
+
+@app.command()
+def show(number: Annotated[int | None, typer.Argument(help="a version; none: what is recorded now")] = None,
+         token: Token = "", control: ControlAt = HERE, json: Json = False) -> None:
+    """Print the recorded state and the open apply, or what one version wanted."""
+    from threadhill.control import commands
+
+    commands.show(control, token, number, json)
+
+
+@app.command()
+def history(token: Token = "", control: ControlAt = HERE, json: Json = False) -> None:
+    """Print the newest versions: who asked for them, when and why."""
+    from threadhill.control import commands
+
+    commands.history(control, token, json)
 
 
 @app.command()
-def plan(file: File, admin: Address, token: Token,
-         json: Annotated[bool, typer.Option("--json", help="print JSON")] = False) -> None:
-    """Print what applying FILE would change, and the state version that this holds for."""
-    _print(_asked(lambda client: client.plan(admin, token, file)), json)
+def proxies(token: Token = "", control: ControlAt = HERE, json: Json = False) -> None:
+    """Print the proxies: live, silent or never seen, the last event that each applied, its configuration."""
+    from threadhill.control import commands
+
+    commands.proxies(control, token, json)
 
 
 @app.command()
-def apply(file: File, admin: Address, token: Token,
-          on: Annotated[int | None, typer.Option("--on", help="the state version that was planned on")] = None,
-          json: Annotated[bool, typer.Option("--json", help="print JSON")] = False) -> None:
-    """Make FILE's tenants the running ones. Does nothing where they are already."""
-    _print(_asked(lambda client: client.apply(admin, token, file, on)), json)
+def control(data: Data, token: Token = "", api: Annotated[str, typer.Option(help="where the API listens")] = HERE,
+            feed: Annotated[str, typer.Option(help="where the journal service listens")] = "127.0.0.1:7401",
+            json: Annotated[bool, typer.Option("--json", help="log JSON, an object a line")] = False) -> None:
+    """Run a control plane until SIGTERM. It writes each proxy's LB_CONFIG to DATA/proxies/NAME.json.
+
+    Example: THREADHILL_TOKEN=a-long-secret threadhill control --data data
+    """
+    from threadhill.control import commands
+
+    commands.control(data, token, api, feed, json)
+
+
+@state_app.command("snapshot")
+def state_snapshot(file: Path, data: Data) -> None:
+    """Copy the store to FILE, while the control plane runs or not; the copy is checked."""
+    from threadhill.control import commands
+
+    commands.snapshot(data, file)
+
+
+@state_app.command("restore")
+def state_restore(file: Path, data: Data) -> None:
+    """Put a snapshot in the place of the store. The control plane must be stopped; the old store is kept beside it."""
+    from threadhill.control import commands
 
+    commands.restore(data, file)
 
-def _asked(ask: Any) -> Any:
-    from threadhill.admin import client, document
+
+@app.command()
+def dev(folder: Annotated[Path, typer.Argument(help="configuration to start with")] = Path("deploy/example"),
+        data: Annotated[Path | None, typer.Option(help="keep the state here; default: a folder that goes away")] = None,
+        var: Vars = []) -> None:  # noqa: B006
+    """Start a whole installation on loopback: control plane, stand-in servers and proxies as FOLDER says.
+
+    Example: threadhill dev, and in a second terminal: threadhill ask art-pages 7f3a9c21e0b4d655
+    """
+    from threadhill.standin import dev as run
+
+    run.dev(folder, data, var)
+
+
+@app.command()
+def ask(cls: Annotated[str, typer.Argument(metavar="CLASS")], obj: Annotated[str, typer.Argument(metavar="OBJECT")],
+        proxy: Annotated[str, typer.Option("--proxy", envvar="THREADHILL_PROXY")] = "127.0.0.1:19101",
+        part: Annotated[int, typer.Option(help="the part of the object")] = 0,
+        count: Annotated[int, typer.Option(min=1, max=10_000, help="so many times, one after another")] = 1,
+        budget: Annotated[int, typer.Option(help="milliseconds that the client waits")] = 3_000,
+        tenant: Annotated[str, typer.Option(help="in this tenant's name")] = "", json: Json = False) -> None:
+    """Send requests to a proxy as a client does, and print what came. Exit 1 unless all were served.
+
+    Example: threadhill ask clip-parts 7f3a9c21e0b4d655 --part 3
+    """
+    from threadhill.standin import ask as run
+
+    raise typer.Exit(run.ask(proxy, cls, obj, part, count, budget, tenant, json))
+
+
+def _needed(admin: str) -> str:
+    if not admin:
+        _fail("a file of tenants is for a proxy's own API: name it with --admin host:port", CHANGES)
+    return admin
+
+
+def _tenants(ask: Any) -> Any:
+    from threadhill import documents
+    from threadhill.admin import client
 
     try:
         return ask(client)
-    except (client.Failed, document.Invalid) as error:
-        _fail(error)
+    except (client.Failed, documents.Invalid) as error:
+        _fail(error, CHANGES)
 
 
-def _print(result: dict[str, Any], json: bool) -> None:
+def _told(result: dict[str, Any], json: bool) -> None:
     from threadhill.admin import client
 
     typer.echo(orjson.dumps(result).decode() if json else client.told(result))
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -12,7 +12,7 @@
 from threadhill.decision import interface as api
 from threadhill.net.journal import Event, read_event
 from threadhill.net.lines import WIRE, Limits
-from threadhill.settings import Malformed, address, mapping, read_settings, sequence, whole
+from threadhill.settings import Malformed, address, mapping, read_settings, sequence, text, whole
 
 PROGRAM = 26  # MB that the program takes by itself
 LEAST_SPARE = 6  # MB beside it that are counted on, whatever the limit
@@ -38,6 +38,7 @@
     limits: Limits
     clients: int  # connections that clients may hold
     outbound: int  # bytes that may wait for all of them together
+    report: str | None = None  # which configuration this is, where the journal service is to be told
 
 
 def read_config(raw: Any, environ: Mapping[str, str]) -> Config:
@@ -67,6 +68,7 @@
         ),
         clients=clients,
         outbound=int(spare * OUTBOUND_SHARE),
+        report=text(raw["report"], "report") if raw.get("report") else None,
     )
 
 
--- /dev/null
+++ b/threadhill/control/api.py
@@ -0,0 +1,145 @@
+"""The control plane's HTTP API, version 1. Each call that changes something checks all that it is given first.
+
+    GET  /v1/state                     the recorded state, and the open apply
+    GET  /v1/observed                  what proxies report
+    GET  /v1/versions?before=N         the newest versions below N
+    GET  /v1/versions/N                one version with all that it wants
+    GET  /v1/applies/N                 an open apply: its steps as done, in doubt or left
+    POST /v1/applies                   {"plan", "holder", "who", "why"}: open one; a lease comes with it
+    POST /v1/applies/N/advance         {"token"}: carry it on as far as it goes now
+    POST /v1/applies/N/resume          {"holder"}: take over one whose lease has run out
+    POST /v1/applies/N/abandon         {"who"}: end it where it stands
+    GET  /v1/stats                     the counters
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from threadhill.admin.http import Call, Problem
+from threadhill.control.ledger import Ledger, Refused
+from threadhill.control.store import Apply, Unwritable
+from threadhill.stats import Stats
+
+PAGE = 50
+CODES = {"bad-plan": 422, "not-open": 404, "lease-lost": 409, "leased": 409, "conflict": 409, "unfinished": 409}
+
+
+class ControlApi:
+    """Answers calls."""
+
+    def __init__(self, ledger: Ledger, stats: Stats, now: Callable[[], int],
+                 log: Callable[..., None] = lambda event, **more: None) -> None:
+        self.ledger, self.stats, self._now, self._log = ledger, stats, now, log
+
+    def __call__(self, call: Call) -> tuple[int, Any]:
+        self.stats.count("api", call.method)
+        target, _, query = call.path.partition("?")
+        path = target.strip("/").split("/")
+        if path[0] != "v1":
+            raise Problem(404, "not-found", "paths begin with /v1")
+        methods = self._methods(path[1:], query)
+        if not methods:
+            raise Problem(404, "not-found", f"nothing at {call.path}")
+        if call.method not in methods:
+            raise Problem(405, "method-not-allowed", f"{call.method} is not for {call.path}", ", ".join(methods))
+        try:
+            return methods[call.method](call)
+        except Refused as error:
+            raise Problem(CODES[error.code], error.code, str(error), **error.more) from None
+        except Unwritable as error:
+            raise Problem(507, "not-written", str(error)) from None
+
+    def _methods(self, path: list[str], query: str) -> dict[str, Callable[[Call], tuple[int, Any]]]:
+        ledger = self.ledger
+        match path:
+            case ["state"]:
+                return {"GET": lambda call: (200, ledger.state())}
+            case ["observed"]:
+                return {"GET": lambda call: (200, ledger.observed(self._now()))}
+            case ["stats"]:
+                return {"GET": lambda call: (200, self.stats.table())}
+            case ["versions"]:
+                return {"GET": lambda call: self._versions(query)}
+            case ["versions", number]:
+                return {"GET": lambda call: self._version(_number(number))}
+            case ["applies"]:
+                return {"POST": self._begin}
+            case ["applies", number]:
+                return {"GET": lambda call: self._open(_number(number))}
+            case ["applies", number, "advance"]:
+                return {"POST": lambda call: self._advance(_number(number), call)}
+            case ["applies", number, "resume"]:
+                return {"POST": lambda call: self._resume(_number(number), call)}
+            case ["applies", number, "abandon"]:
+                return {"POST": lambda call: self._abandon(_number(number), call)}
+        return {}
+
+    def _versions(self, query: str) -> tuple[int, Any]:
+        before = _number(query.partition("before=")[2]) if query else 1 << 60
+        return 200, {"versions": [_shown(v) for v in self.ledger.store.versions(before, PAGE)]}
+
+    def _version(self, number: int) -> tuple[int, Any]:
+        version = self.ledger.store.version(number)
+        if version is None:
+            raise Problem(404, "no-such-version", f"there is no version {number}")
+        return 200, {**_shown(version), "wanted": version.wanted}
+
+    def _open(self, number: int) -> tuple[int, Any]:
+        found = self.ledger.unfinished()
+        if found is None or found["apply"] != number:
+            raise Problem(404, "not-open", f"apply {number} is not open")
+        return 200, found
+
+    def _begin(self, call: Call) -> tuple[int, Any]:
+        body = _body(call, plan=dict, holder=str, who=str, why=str)
+        apply = self.ledger.begin(body["plan"], body["holder"], body["who"], body["why"], self._now())
+        self._log("apply begun", apply=apply.number, version=apply.version, who=body["who"], why=body["why"],
+                  steps=len(self.ledger.steps))
+        return 201, _lease(apply)
+
+    def _advance(self, number: int, call: Call) -> tuple[int, Any]:
+        told = self.ledger.advance(number, _body(call, token=int)["token"], self._now())
+        for id in told["begun"]:
+            self._log("step begun", apply=number, step=id, pos=self.ledger.pos)
+        for id, note in told["confirmed"]:
+            self._log("step confirmed", apply=number, step=id, note=note)
+        if told["state"] != "open":
+            self._log("apply " + told["state"], apply=number, why=told["halted"])
+        return 200, told
+
+    def _resume(self, number: int, call: Call) -> tuple[int, Any]:
+        apply = self.ledger.resume(number, _body(call, holder=str)["holder"], self._now())
+        self._log("apply resumed", apply=number, holder=apply.holder)
+        return 200, _lease(apply)
+
+    def _abandon(self, number: int, call: Call) -> tuple[int, Any]:
+        who = _body(call, who=str)["who"]
+        self.ledger.abandon(number, who, self._now())
+        self._log("apply abandoned", apply=number, who=who)
+        return 200, {"apply": number, "state": "abandoned"}
+
+
+def _number(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 18:
+        raise Problem(400, "bad-request", f"not a number: {text[:40]!r}")
+    return int(text)
+
+
+def _body(call: Call, **types: type) -> dict[str, Any]:
+    raw = call.json()
+    faults = [{"at": name, "fault": f"must be a {kind.__name__}"} for name, kind in types.items()
+              if not isinstance(raw, dict) or type(raw.get(name)) is not kind]
+    if faults:
+        raise Problem(422, "invalid", "; ".join(f"{f['at']}: {f['fault']}" for f in faults), faults=faults)
+    return raw
+
+
+def _lease(apply: Apply) -> dict[str, Any]:
+    return {"apply": apply.number, "version": apply.version, "token": apply.token, "expires": apply.expires}
+
+
+def _shown(version: Any) -> dict[str, Any]:
+    return {"version": version.number, "at": version.at, "who": version.who, "why": version.why, "base": version.base,
+            "state": version.state, "plan": version.plan}
--- /dev/null
+++ b/threadhill/control/commands.py
@@ -0,0 +1,322 @@
+"""The commands of the control plane: what they print, and how they end."""
+
+from __future__ import annotations
+
+import getpass
+import os
+import socket
+from collections import Counter
+from collections.abc import Callable, Mapping
+from datetime import UTC, datetime
+from functools import wraps
+from pathlib import Path
+from typing import Any
+
+import orjson
+import typer
+
+from threadhill.cli_codes import CHANGES, CONFLICT, DONE, ERROR, HALTED
+from threadhill.control import client
+from threadhill.control.store import Damaged, Unwritable
+from threadhill.plans import configuration, forecast, saved, syntax
+from threadhill.plans.faults import Fault, Invalid
+from threadhill.plans.fmt import canonical
+from threadhill.settings import Malformed, address
+
+CONFLICTS = ("conflict", "unfinished", "leased", "lease-lost", "bad-plan")
+LEASE_WAIT = 10.0  # seconds that --resume waits for a dead applier's lease
+
+
+def _say(text: str) -> None:
+    typer.echo(text)
+
+
+def _complain(error: object) -> None:
+    typer.echo(f"threadhill: {error}", err=True)
+
+
+def told(command: Callable[..., None]) -> Callable[..., None]:
+    """Faults that a user can mend are told in a line and end with a code; anything else is a fault of the program."""
+
+    @wraps(command)
+    def run(*words: Any) -> None:
+        try:
+            command(*words)
+        except Invalid as error:
+            if words and words[-1] is True:
+                _json({"faults": [{"file": f.file, "line": f.line, "name": f.name, "text": f.text}
+                                  for f in error.faults]})
+            else:
+                for fault in error.faults:
+                    typer.echo(str(fault), err=True)
+            raise typer.Exit(ERROR) from None
+        except client.Halted as error:
+            _complain(f"apply {error.apply} halted: {error}. Mend that and `threadhill apply --resume`, or end it with "
+                      "`threadhill apply --abandon` and plan again")
+            raise typer.Exit(HALTED) from None
+        except client.Failed as error:
+            _complain(f"{error.code}: {error}")
+            raise typer.Exit(CONFLICT if error.code in CONFLICTS else ERROR) from None
+        except BrokenPipeError:  # who read the output has had enough
+            os.dup2(os.open(os.devnull, os.O_WRONLY), 1)
+        except (Damaged, Unwritable, Malformed, saved.BadPlan, OSError) as error:
+            _complain(error)
+            raise typer.Exit(ERROR) from None
+
+    return run
+
+
+def _json(value: Any) -> None:
+    typer.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
+
+
+def _wanted(path: Path, var: list[str], var_file: list[Path]) -> dict[str, configuration.Resource]:
+    return client.read_configuration(path, client.read_variables(var_file, var))
+
+
+@told
+def validate(path: Path, var: list[str], var_file: list[Path], json: bool) -> None:
+    resources = _wanted(path, var, var_file)
+    counts = dict(sorted(Counter(r.kind for r in resources.values()).items()))
+    if json:
+        _json({"faults": [], "resources": counts})
+    else:
+        _say("sound: " + ", ".join(f"{count} {kind}" for kind, count in counts.items()))
+
+
+@told
+def fmt(path: Path, check: bool) -> None:
+    files = sorted(path.glob("*.hcl")) if path.is_dir() else [path]
+    faults: list[Fault] = []
+    changed = []
+    for file in files:
+        text = file.read_text("utf-8")
+        found = len(faults)
+        syntax.parse(text, str(file), faults)
+        new = canonical(text)
+        if len(faults) == found and new != text:
+            changed.append(file)
+            if not check:
+                part = file.with_name(file.name + ".part")
+                part.write_text(new, "utf-8")
+                os.replace(part, file)
+    for file in changed:
+        _say(str(file))
+    if faults:
+        raise Invalid(faults)
+    raise typer.Exit(CHANGES if check and changed else DONE)
+
+
+@told
+def plan(control: str, token: str, path: Path | None, var: list[str], var_file: list[Path], to: int | None,
+         out: Path | None, why: str, with_forecast: bool, rate: float, json: bool) -> None:
+    if (path is None) == (to is None):
+        raise Malformed("name either files or --to VERSION")
+    ask = client.Caller(control, token)
+    wanted = client.wanted_of(ask, to) if path is None else _wanted(path, var, var_file)
+    mix = _mix(wanted, rate)
+    document = client.make_plan(ask, wanted, why or (f"return to version {to}" if to else ""), with_forecast, mix)
+    unfinished = document.pop("unfinished", None)
+    if out is not None and not document["blocked"]:
+        out.write_bytes(orjson.dumps(document))
+    if json:
+        _json({**document, "unfinished": unfinished})
+    else:
+        if unfinished is not None:
+            _say(_unfinished(unfinished))
+        _say(saved.told(document))
+        if out is not None and document["steps"] and not document["blocked"]:
+            _say(f"Saved to {out}: threadhill apply {out}")
+    if document["blocked"]:
+        raise typer.Exit(ERROR)
+    raise typer.Exit(CHANGES if document["steps"] else DONE)
+
+
+def _mix(wanted: Mapping[str, configuration.Resource], rate: float) -> forecast.Mix | None:
+    settings = wanted.get("settings.settings")
+    if settings is None:
+        return None
+    mix = forecast.default_mix(settings.attrs)
+    return forecast.Mix(rate, mix.classes)
+
+
+def _unfinished(found: Mapping[str, Any]) -> str:
+    states = list(found["steps"].values())
+    lines = [f"Apply {found['apply']} (version {found['version']}) by {found['holder']} is not finished: "
+             f"{states.count('done')} done, {states.count('in doubt')} in doubt, {states.count('left')} left."]
+    for id, state in found["steps"].items():
+        if state == "in doubt":
+            lines.append(f"  ? {id}: carried out, not yet confirmed")
+    lines.append("  threadhill apply --resume carries it on, --abandon ends it where it stands.")
+    return "\n".join(lines)
+
+
+def _holder() -> str:
+    return f"{_who()}@{socket.gethostname()}:{os.getpid()}"
+
+
+def _who() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+@told
+def apply(control: str, token: str, path: Path | None, var: list[str], var_file: list[Path], resume: bool,
+          abandon: bool, why: str, json: bool) -> None:
+    ask = client.Caller(control, token)
+    if resume or abandon:
+        found = ask("GET", "/v1/state")["open"]
+        if found is None:
+            raise client.Failed("not-open", "no apply is open")
+        if abandon:
+            _abandon(ask, found["apply"], json)
+            return
+        lease = client.resume(ask, found["apply"], _holder(), LEASE_WAIT)
+    else:
+        document = _saved(ask, path, var, var_file, why)
+        if document["blocked"]:
+            _say(saved.told(document))
+            raise typer.Exit(ERROR)
+        if not document["steps"]:
+            _json({"state": "done", "steps": 0}) if json else _say(saved.summary(document))
+            return
+        lease = client.begin(ask, document, _holder(), _who(), why or document["why"])
+    result = client.carry_on(ask, lease, (lambda told: None) if json else _progress())
+    if json:
+        _json({**lease, **result})
+    else:
+        _say(f"Apply {lease['apply']} is done: state version {lease['version']}.")
+
+
+def _saved(ask: client.Caller, path: Path | None, var: list[str], var_file: list[Path], why: str) -> dict[str, Any]:
+    if path is None:
+        raise Malformed("name a saved plan or files; or --resume or --abandon")
+    if path.is_file() and path.suffix != ".hcl":
+        try:
+            return saved.check(orjson.loads(path.read_bytes()))
+        except (ValueError, saved.BadPlan) as error:
+            raise saved.BadPlan(f"{path}: {error}") from None
+    return client.make_plan(ask, _wanted(path, var, var_file), why, with_forecast=False)
+
+
+def _abandon(ask: client.Caller, number: int, json: bool) -> None:
+    told = ask("POST", f"/v1/applies/{number}/abandon", {"who": _who()})
+    _json(told) if json else _say(f"Apply {number} is abandoned; `threadhill show` prints what stands.")
+
+
+def _progress() -> client.Progress:
+    last = [""]
+
+    def progress(told: Mapping[str, Any]) -> None:
+        for id, note in told["confirmed"]:
+            _say(f"  done      {id}" + (f" ({note})" if note else ""))
+        for id in told["begun"]:
+            _say(f"  begun     {id}")
+        if told["waits"] and not told["begun"] and not told["confirmed"]:
+            id, what = next(iter(told["waits"].items()))
+            text = f"  {told['done']}/{told['steps']}, waiting: {id}: {what}"
+            if text.split(" in ")[0] != last[0].split(" in ")[0]:
+                _say(text)
+            last[0] = text
+
+    return progress
+
+
+@told
+def show(control: str, token: str, number: int | None, json: bool) -> None:
+    ask = client.Caller(control, token)
+    if number is not None:
+        version = ask("GET", f"/v1/versions/{number}")
+        if json:
+            _json(version)
+            return
+        _say(_version(version))
+        for id, attrs in version["wanted"].items():
+            _say(f"  {id}  " + ", ".join(f"{k}={v}" for k, v in attrs.items() if k in SHOWN))
+        return
+    state = ask("GET", "/v1/state")
+    if json:
+        _json(state)
+        return
+    _say(f"State version {state['version']}, change {state['serial']}, last event {state['pos']}")
+    for record in state["records"]:
+        attrs = ", ".join(f"{k}={v}" for k, v in record["attrs"].items() if k in SHOWN)
+        _say(f"  {record['phase']:<9} {record['kind']}.{record['name']}  {attrs}")
+    if state["open"] is not None:
+        _say(_unfinished(state["open"]))
+
+
+SHOWN = ("address", "listen", "node", "hub", "zones", "quota", "fills_from")
+
+
+def _version(version: Mapping[str, Any]) -> str:
+    at = datetime.fromtimestamp(version["at"] / 1e3, UTC).strftime("%Y-%m-%d %H:%M:%S")
+    return f"{version['version']:>6}  {at}  {version['state']:<9}  {version['who']}  {version['why']}"
+
+
+@told
+def history(control: str, token: str, json: bool) -> None:
+    versions = client.Caller(control, token)("GET", "/v1/versions")["versions"]
+    if json:
+        _json({"versions": versions})
+        return
+    for version in versions:
+        _say(_version(version))
+
+
+@told
+def proxies(control: str, token: str, json: bool) -> None:
+    seen = client.Caller(control, token)("GET", "/v1/observed")
+    if json:
+        _json(seen)
+        return
+    _say(f"Last event {seen['pos']}")
+    for proxy in seen["proxies"]:
+        if proxy["applied"] is None:
+            _say(f"  {proxy['name']:<16} {proxy['state']}")
+            continue
+        config = "" if proxy["config"] == proxy["wanted_config"] else ", runs with an older configuration: restart it"
+        _say(f"  {proxy['name']:<16} {proxy['state']:<8} applied {proxy['applied']}, {proxy['behind']} behind, heard "
+             f"{proxy['seen_ms'] / 1e3:.1f} s ago{config}")
+    for id in seen["gone"]:
+        _say(f"  ! {id}: no live proxy reaches it")
+
+
+@told
+def control(data: Path, token: str, api: str, feed: str, json: bool) -> None:
+    from threadhill.control.server import BadStart, Places, serve
+
+    if len(token) < 16:
+        raise Malformed("--token or THREADHILL_TOKEN must have 16 characters at least")
+    places = Places(data, _loopback(api, "--api"), _loopback(feed, "--feed"), token)
+    try:
+        serve(places, json)
+    except BadStart as error:
+        _complain(error)
+        raise typer.Exit(ERROR) from None
+
+
+def _loopback(text: str, what: str) -> tuple[str, int]:
+    host, port = address(text, what)
+    if not host.startswith("127.") and host != "::1":
+        raise Malformed(f"{what} {text}: loopback only, while there is no TLS: use 127.0.0.1:{port}")
+    return host, port
+
+
+@told
+def snapshot(data: Path, file: Path) -> None:
+    from threadhill.control.sqlite import take_snapshot
+
+    take_snapshot(data, file)
+    _say(f"{file}: {file.stat().st_size} bytes, checked")
+
+
+@told
+def restore(data: Path, file: Path) -> None:
+    from threadhill.control import sqlite
+
+    meta = sqlite.restore(data, file)
+    _say(f"{data}: state version {meta['version']}; event numbers go on from {meta['pos'] + 1}. What was there is "
+         f"kept as {data}/replaced.{sqlite.NAME}")
--- /dev/null
+++ b/threadhill/control/server.py
@@ -0,0 +1,167 @@
+"""The running control plane: store, feed, API and the proxies' configuration files, on one loop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+import structlog
+
+from threadhill.admin.http import HttpConnection
+from threadhill.control.api import ControlApi
+from threadhill.control.feed import Feed
+from threadhill.control.ledger import Ledger
+from threadhill.control.sqlite import Sqlite
+from threadhill.control.store import Unwritable
+from threadhill.log import Log
+from threadhill.net.door import Door, Guest
+from threadhill.net.turns import Turns
+
+TICK = 100_000  # microseconds between looks at what time and reports have confirmed
+WRITE = 100_000  # microseconds that changes are gathered for before configuration files are written
+CALLERS = 32
+FEEDS = 2_000  # connections of proxies at most
+BODY = 32 << 20  # bytes of a call: the plan of a large installation
+
+
+class BadStart(Exception):
+    """The control plane can't start; the text says what to do."""
+
+
+@dataclass(frozen=True, slots=True)
+class Places:
+    """Where a control plane listens and keeps what it has."""
+
+    data: Path
+    api: tuple[str, int]
+    feed: tuple[str, int]
+    token: str
+
+
+def logger(json: bool) -> Any:
+    """The structured log on standard error: for people, or a JSON object a line."""
+    renderer: Any = structlog.processors.JSONRenderer() if json else structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[structlog.processors.TimeStamper(fmt="iso", utc=True), structlog.processors.add_log_level,
+                    renderer],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
+    return structlog.get_logger("control")
+
+
+class Control:
+    """One control plane on the running loop."""
+
+    def __init__(self, places: Places, log: Any) -> None:
+        self.places, self.log = places, log
+        self.turns = Turns(Log(time.monotonic))
+        self.store = Sqlite(places.data)
+        self.ledger = Ledger(self.store, self._published)
+        self.feed = Feed(self.ledger, self._door("proxy", FEEDS), self._report)
+        self.api = ControlApi(self.ledger, self.turns.stats, self.now, log.info)
+        self.door = self._door("caller", CALLERS)(
+            lambda door: HttpConnection(places.token, self.api, door, BODY))
+        self.done = asyncio.Event()
+        self._written: dict[str, tuple[int, int]] = {}
+        self._dirty = False
+
+    def now(self) -> int:
+        return self.turns.clock.now() // 1_000
+
+    def _door(self, name: str, most: int) -> Callable[[Callable[[Door], Guest]], Door]:
+        return lambda make: Door(self.turns, name, most, make, self.turns.log)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            self.turns.loop.add_signal_handler(signum, self.done.set)
+        feed = await self.feed.door.listen(*self.places.feed)
+        api = await self.door.listen(*self.places.api)
+        self.feed_address = f"{self.places.feed[0]}:{feed}"
+        self._write()
+        self._tick()
+        self.log.info("serving", api=f"{self.places.api[0]}:{api}", feed=self.feed_address,
+                      version=self.ledger.meta["version"], pos=self.ledger.pos,
+                      unfinished=self.ledger.open.number if self.ledger.open else None)
+        await self.done.wait()
+        self.log.info("stopping", pos=self.ledger.pos)
+        self.store.close()
+
+    def _published(self) -> None:
+        self.feed.publish()
+        self._soon()
+
+    def _report(self, raw: dict[str, Any]) -> None:
+        name = raw.get("proxy")
+        live = self.ledger.members.live(name, self.now()) if isinstance(name, str) else True
+        if self.ledger.members.report(raw, self.now()) is not None and not live:
+            self.log.info("proxy reports", proxy=name, applied=raw["applied"], config=raw["config"])
+
+    def _tick(self) -> None:
+        try:
+            for record, note in self.ledger.tick(self.now()):
+                self.log.info("confirmed", resource=record.id, phase=record.phase.value, note=note)
+        except Unwritable as error:
+            self.log.error("not written", error=str(error))
+        names = {r.name for r in self.ledger.fleet.records.values() if r.kind == "proxy"}
+        self.ledger.members.forget(names, self.now())
+        if {n: r.pos for n, r in self._proxies().items()} != {n: at for n, (at, _) in self._written.items()}:
+            self._soon()
+        self.turns.deadlines.add(self.turns.clock.now() + TICK, self._tick)
+
+    def _proxies(self) -> dict[str, Any]:
+        return {r.name: r for r in self.ledger.fleet.records.values() if r.kind == "proxy"}
+
+    # --- configuration files
+
+    def _soon(self) -> None:
+        """Files follow the state a little later, many changes at once: a proxy that starts on an older one hears of the
+        rest over its feed."""
+        if not self._dirty:
+            self._dirty = True
+            self.turns.deadlines.add(self.turns.clock.now() + WRITE, self._write)
+
+    def _write(self) -> None:
+        """Write each proxy's configuration, whole or not at all, and take those away that are not recorded."""
+        self._dirty = False
+        folder = self.places.data / "proxies"
+        folder.mkdir(exist_ok=True)
+        here = self._proxies()
+        try:
+            for name, record in here.items():
+                wanted = (record.pos, self.ledger.pos)
+                if self._written.get(name) == wanted:
+                    continue
+                config = self.ledger.configuration(name)
+                if config is None:
+                    continue
+                config |= {"journal": self.feed_address, "seed": os.urandom(8).hex()}
+                part = folder / f".{name}.json.part"
+                part.write_bytes(orjson.dumps(config))
+                os.replace(part, folder / f"{name}.json")
+                self._written[name] = wanted
+            for name in set(self._written) - set(here):
+                (folder / f"{name}.json").unlink(missing_ok=True)
+                del self._written[name]
+        except OSError as error:
+            self.log.error("configuration not written", error=str(error))
+            self._soon()
+
+
+def serve(places: Places, json: bool = False) -> None:
+    """Run a control plane until it is told to stop. Raises Damaged or BadStart."""
+
+    async def main() -> None:
+        await Control(places, logger(json)).run()
+
+    try:
+        asyncio.run(main())
+    except OSError as error:
+        raise BadStart(str(error)) from None
--- a/threadhill/core/tenants.py
+++ b/threadhill/core/tenants.py
@@ -62,6 +62,12 @@
         self.by_name, self.version = new, self.version + 1
         return True
 
+    def change(self, tenants: list[Tenant], gone: set[str], whole: bool) -> None:
+        """Make these so and drop those that are gone; with `whole` there are no others."""
+        kept = {} if whole else self.by_name
+        new = {name: tenant for name, tenant in kept.items() if name not in gone}
+        self.replace(list((new | {tenant.name: tenant for tenant in tenants}).values()))
+
     def knows(self, name: str | None) -> bool:
         """Whether requests under this name are taken. Where no tenant was ever set up, names mean nothing."""
         return name is None or not self.version or name in self.by_name
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -11,8 +11,8 @@
 import socket
 from collections.abc import Callable
 
-from threadhill.core.engine import Engine
 from threadhill.net.stream import Stream
+from threadhill.net.turns import Host
 
 TURN = 16  # connections taken in a turn: what has come on others is read in between
 BACKLOG = 512  # connections that wait in the kernel
@@ -95,7 +95,7 @@
 class Door:
     """One listener, and all who came in by it."""
 
-    def __init__(self, engine: Engine, name: str, most: int, make: Callable[[Door], Guest],
+    def __init__(self, engine: Host, name: str, most: int, make: Callable[[Door], Guest],
                  log: Callable[[str], None]) -> None:
         self.engine, self.name, self.most, self._make, self._log = engine, name, most, make, log
         self.guests: dict[Guest, None] = {}
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -10,8 +10,10 @@
 import orjson
 
 from threadhill.core.engine import Engine
+from threadhill.core.tenants import Tenant
 from threadhill.decision import interface as api
 from threadhill.decision.hashing import number_of
+from threadhill.documents import Invalid, read_tenants
 from threadhill.net.lines import CacheServers
 from threadhill.net.stream import Stream
 from threadhill.settings import Malformed, address, mapping, must_whole, number, sequence, text, whole
@@ -21,6 +23,8 @@
 CONNECT = 0.5  # seconds that a connection may take to come up
 AGAIN = 50_000  # microseconds between tries while none comes up, doubled for each that tells nothing new
 AGAIN_MOST = 400_000  # at most: what was missed counts as told 2 s after a break
+REPORT = 1_000_000  # microseconds between reports, where nothing new was applied
+REPORTED = 500  # servers that one report names at most
 STATES = {"SERVING": api.State.READY, "DRAINING": api.State.DRAINING, "DELETED": api.State.GONE}
 
 
@@ -54,6 +58,8 @@
     object: str | None = None
     group: int | None = None
     stamp: int | None = None  # Unix microseconds of the purge; None: the event is none
+    tenants: tuple[Tenant, ...] | None = None  # an addition of ours: tenants that there are from now on
+    tenants_gone: frozenset[str] = frozenset()
 
 
 def read_member(raw: Any) -> Member:
@@ -79,8 +85,17 @@
         hosts = mapping(hosts, "hosts")
         members = tuple(read_member(member) for member in sequence(hosts.get("members"), "members"))
         complete, revision = bool(hosts.get("complete")), whole(hosts.get("revision"), "revision")
+    tenants, gone = None, frozenset()
+    if raw.get("tenants") is not None:
+        told = mapping(raw["tenants"], "tenants")
+        try:
+            tenants = tuple(read_tenants(sequence(told.get("set"), "tenants.set")))
+        except Invalid as error:
+            raise Malformed(str(error)) from None
+        gone = frozenset(text(name, "tenants.gone") for name in sequence(told.get("gone"), "tenants.gone"))
+        complete = complete or bool(told.get("complete"))
     if expire is None:
-        return Event(pos, members, complete, revision)
+        return Event(pos, members, complete, revision, tenants=tenants, tenants_gone=gone)
     expire = mapping(expire, "expire")
     name, group = expire.get("name"), expire.get("set")
     return Event(pos, members, complete, revision, name if isinstance(name, str) else None,
@@ -90,8 +105,10 @@
 class Journal:
     """What the journal has told so far, and who is told of it."""
 
-    def __init__(self, engine: Engine, caches: CacheServers, log: Callable[[str], None]) -> None:
+    def __init__(self, engine: Engine, caches: CacheServers, log: Callable[[str], None], name: str = "",
+                 report: str | None = None) -> None:
         self.engine, self.caches, self.log = engine, caches, log
+        self.name, self.report = name, report  # None: the service is told nothing, as the platform has it
         self.pos = 0
         self.heard = 0
         self.address: tuple[str, int] | None = None
@@ -112,6 +129,8 @@
             self._hosts(event, first=not self._listed)
         if event.stamp is not None:
             self.engine.purged(api.Purge(event.object, event.group, self.engine.clock.age(event.stamp)))
+        if event.tenants is not None:
+            self.engine.tenants.change(list(event.tenants), set(event.tenants_gone), event.complete)
         self.pos = event.pos
         self.engine.stats.count("journal", "events")
 
@@ -186,6 +205,20 @@
         self.engine.deadlines.drop(self._redial)
         self._redial = self.engine.deadlines.add(self.engine.clock.now() + wait, self._connect)
 
+    def say(self) -> None:
+        """Report back, where the configuration asks for it: the last event applied, what of servers is reached."""
+        if self.report is None or self.feed is None:
+            return
+        up, down = self.caches.reached()
+        told = {"proxy": self.name, "config": self.report, "applied": self.pos, "up": up[:REPORTED],
+                "down": down[:REPORTED]}
+        self.feed.write(orjson.dumps(told) + b"\n")
+
+    def _regularly(self, feed: Feed) -> None:
+        if self.feed is feed:
+            self.say()
+            self.engine.deadlines.add(self.engine.clock.now() + REPORT, lambda: self._regularly(feed))
+
     def _watch(self) -> None:
         """A connection that is open but silent tells nothing, not even that it is lost."""
         now = self.engine.clock.now()
@@ -226,7 +259,7 @@
     """One connection to the journal service."""
 
     def __init__(self, journal: Journal) -> None:
-        super().__init__(LINE, 4 << 10)
+        super().__init__(LINE, 64 << 10)
         self.journal = journal
         self.since = 0
 
@@ -237,6 +270,8 @@
         self.since = self.journal.heard = self.journal.engine.clock.now()
         self.journal.feed, self.journal.dialling = self, None
         self.write(b"tail %d\n" % self.journal.pos)
+        if self.journal.report is not None:
+            self.journal._regularly(self)
 
     def ended(self) -> None:
         self.journal.lost(self)
@@ -245,6 +280,7 @@
         data = self.inbound.peek(len(self.inbound))
         done = data.rfind(b"\n") + 1
         self.inbound.skip(done)
+        before = self.journal.pos
         for line in data[:done].splitlines():
             try:
                 self.journal.told(line)
@@ -253,3 +289,5 @@
                 self.journal.engine.stats.count("malformed", "journal")
                 self.abort()
                 return
+        if self.journal.pos != before:
+            self.journal.say()
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -172,6 +172,7 @@
         self.waiting: deque[int] = deque()
         self.dialling = 0
         self.ready = True
+        self.down = False  # the last dial failed, and none has come up since
 
     def send(self, attempt: int) -> None:
         self.waiting.append(attempt)
@@ -259,6 +260,7 @@
     def dialled(self, up: bool) -> None:
         """A dial ended. Where it failed, what waits beyond the dials still out has no way to the server."""
         self.dialling -= 1
+        self.down = not up and not any(wire.usable for wire in self.wires)
         while not up and len(self.waiting) > self.dialling and not any(wire.usable for wire in self.wires):
             self.caches.ended(self.waiting.popleft(), Ended(api.Outcome.UNREACHED))
         self._drain()
@@ -364,6 +366,11 @@
         pool = self.servers.get(number)
         return (pool.name, pool.host, pool.port) if pool is not None and pool.ready else None
 
+    def reached(self) -> tuple[list[str], list[str]]:
+        """Of the servers that were dialled: those that are up, and those that the last dial did not reach."""
+        up = [pool.name for pool in self.servers.values() if pool.wires and not pool.down]
+        return up, [pool.name for pool in self.servers.values() if pool.down]
+
     def families(self) -> set[int]:
         """The IP versions that ready servers' addresses have."""
         return {6 if ":" in pool.host else 4 for pool in self.servers.values() if pool.ready}
--- /dev/null
+++ b/threadhill/net/turns.py
@@ -0,0 +1,52 @@
+"""A running loop with its clock, its deadlines under one timer, counters and log: what every server here has."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from typing import Any, Protocol
+
+from threadhill.core.clock import Clock
+from threadhill.core.deadlines import Deadlines
+from threadhill.log import Log
+from threadhill.stats import Stats
+
+
+class Host(Protocol):
+    """What a door and its guests need of whoever they stand with."""
+
+    clock: Clock
+    deadlines: Deadlines
+    stats: Stats
+
+
+class Turns:
+    """The running loop's one timer stands for the head of all deadlines; faults are counted and logged."""
+
+    def __init__(self, log: Log) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.clock, self.stats, self.log = Clock(), Stats(), log
+        self._timer: asyncio.TimerHandle | None = None
+        self.deadlines = Deadlines(self._arm, self._fault)
+        self.loop.set_exception_handler(self._unhandled)
+
+    def _arm(self, when: int | None) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if when is not None:
+            self._timer = self.loop.call_later(max(0, when - self.clock.now()) / 1e6, self._sweep)
+
+    def _fault(self, error: Exception) -> None:
+        self.stats.count("fault", "deadline")
+        self.log("".join(traceback.format_exception(error)))
+
+    def _unhandled(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What asyncio would log without any bound: some peers can bring it about as often as they like."""
+        self.stats.count("fault", "loop")
+        self.log(f"{context.get('message')}: {context.get('exception')!r}")
+
+    def _sweep(self) -> None:
+        self._timer = None
+        self.deadlines.woken()
+        self.deadlines.sweep(self.clock.now())
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from threadhill.admin.document import Invalid, read_tenants
 from threadhill.config import BadConfig
 from threadhill.core.tenants import Tenant
 from threadhill.dns.front import DnsConfig
+from threadhill.documents import Invalid, read_tenants
 from threadhill.hostnames import labels_of
 from threadhill.settings import Malformed, address, mapping, sequence, text, whole
 
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -7,23 +7,20 @@
 import os
 import signal
 import time
-import traceback
 from collections.abc import Mapping
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import orjson
 
 from threadhill.config import BadConfig, Config, load
-from threadhill.core.clock import Clock
-from threadhill.core.deadlines import Deadlines
 from threadhill.core.engine import Engine
 from threadhill.log import Log
 from threadhill.net.door import Door
 from threadhill.net.journal import Journal
 from threadhill.net.lines import CacheServers, Limits
 from threadhill.net.resp import Platform
-from threadhill.stats import Stats
+from threadhill.net.turns import Turns
 
 if TYPE_CHECKING:  # each is imported where the operator's file turns it on: the platform's memory is small
     from threadhill.dns.front import DnsConfig
@@ -44,17 +41,13 @@
 
     def __init__(self, config: Config, operator: Operator | None) -> None:
         self.config, self.operator = config, operator
-        self.loop = asyncio.get_running_loop()
-        self.clock = Clock()
-        self.stats = Stats()
-        self._timer: asyncio.TimerHandle | None = None
-        self.deadlines = Deadlines(self._arm, self._fault)
+        turns = Turns(log)
+        self.loop, self.clock, self.stats, self.deadlines = turns.loop, turns.clock, turns.stats, turns.deadlines
         self.engine = Engine(config.settings, config.seed, self.clock, self.deadlines, self.stats, log)
         self.caches = CacheServers(self.engine, self._limits(config), log)
-        self.journal = Journal(self.engine, self.caches, log)
+        self.journal = Journal(self.engine, self.caches, log, config.name, config.report)
         self.front = Platform(self.engine, config.settings.classes, config.clients, config.outbound,
                               self.loop.call_soon, log)
-        self.loop.set_exception_handler(self._unhandled)
         self.done = asyncio.Event()
         self._leaving = 0  # when SIGTERM came
 
@@ -64,28 +57,6 @@
         taken = (dns.connections if dns is not None else 0) + (ADMINS if admin is not None else 0)
         return replace(config.limits, descriptors=max(16, config.limits.descriptors - taken))
 
-    def _arm(self, when: int | None) -> None:
-        """One timer stands for the head of all deadlines."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if when is not None:
-            self._timer = self.loop.call_later(max(0, when - self.clock.now()) / 1e6, self._sweep)
-
-    def _fault(self, error: Exception) -> None:
-        self.stats.count("fault", "deadline")
-        log("".join(traceback.format_exception(error)))
-
-    def _unhandled(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        """What asyncio would log without any bound: some peers can bring it about as often as they like."""
-        self.stats.count("fault", "loop")
-        log(f"{context.get('message')}: {context.get('exception')!r}")
-
-    def _sweep(self) -> None:
-        self._timer = None
-        self.deadlines.woken()
-        self.deadlines.sweep(self.clock.now())
-
     async def run(self) -> None:
         """Serve until told to stop and all that was taken is answered."""
         # First of all: a signal that nobody handles ends the process.
--- /dev/null
+++ b/threadhill/standin/ask.py
@@ -0,0 +1,131 @@
+"""A client of the platform's front: RESP requests over one connection, many at once."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+from collections import Counter
+from typing import Any
+
+import orjson
+import typer
+
+from threadhill.settings import Malformed, address
+from threadhill.standin.servers import body_of
+
+Answer = tuple[str, dict[str, str], bytes]
+
+
+class Client(asyncio.Protocol):
+    """One connection. `ask` gives the future of an answer: word, fields, body."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.buffer = b""
+        self.tags = itertools.count(1)
+        self.waiting: dict[int, asyncio.Future[Answer]] = {}
+        self.twice = 0  # answers to what was answered, or never asked
+        self.lost = False
+
+    @classmethod
+    async def connect(cls, host: str, port: int) -> Client:
+        _, client = await asyncio.get_running_loop().create_connection(cls, host, port)
+        return client
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.lost = True
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(ConnectionResetError("the proxy ended the connection"))
+
+    def send(self, *words: bytes) -> asyncio.Future[Answer]:
+        tag = next(self.tags)
+        parts = [words[0], b"%d" % tag, *words[1:]]
+        self.transport.write(b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(p), p) for p in parts))
+        future = self.waiting[tag] = asyncio.get_running_loop().create_future()
+        return future
+
+    def ask(self, cls: str, obj: str, part: int = 0, budget: int = 3_000, body: bytes = b"",
+            **more: Any) -> asyncio.Future[Answer]:
+        fields = {"rid": os.urandom(8).hex(), "budget": budget, "obj": obj, "n": part, "shard": int(obj[:2], 16)} | more
+        return self.send(b"ASK", cls.encode(), ",".join(f"{k}={v}" for k, v in fields.items()).encode(), body)
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        while (found := _array(self.buffer)) is not None:
+            words, size = found
+            self.buffer = self.buffer[size:]
+            future = self.waiting.pop(int(words[0]), None)
+            if future is None:
+                self.twice += 1
+            elif not future.done():
+                text = words[2].decode() if len(words) > 2 else ""
+                fields = dict(item.split("=", 1) for item in text.split(",") if "=" in item)
+                future.set_result((words[1].decode(), fields, words[3] if len(words) > 3 else b""))
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+
+def _array(data: bytes) -> tuple[list[bytes], int] | None:
+    """The first whole array of bulk strings, and its length."""
+    end = data.find(b"\r\n")
+    if end < 0:
+        return None
+    words, at = [], end + 2
+    for _ in range(int(data[1:end])):
+        end = data.find(b"\r\n", at)
+        if end < 0:
+            return None
+        size = int(data[at + 1 : end])
+        if len(data) < end + 4 + size:
+            return None
+        words.append(data[end + 2 : end + 2 + size])
+        at = end + 4 + size
+    return words, at
+
+
+def ask(proxy: str, cls: str, obj: str, part: int, count: int, budget: int, tenant: str, json: bool) -> int:
+    """Send the requests and print what came; the exit code."""
+    try:
+        host, port = address(proxy, "--proxy")
+        if len(obj) != 16 or set(obj) - set("0123456789abcdef"):
+            raise Malformed("OBJECT must be 16 hex digits, as in 7f3a9c21e0b4d655")
+        told = asyncio.run(_ask(host, port, cls, obj, part, count, budget, tenant))
+    except (Malformed, OSError, TimeoutError) as error:
+        typer.echo(f"threadhill: {proxy}: {error}", err=True)
+        return 1
+    words = Counter(answer["answer"] for answer in told)
+    if json:
+        typer.echo(orjson.dumps({"answers": told, "words": words}).decode())
+    else:
+        for answer in told[:20]:
+            typer.echo(f"{answer['answer']}  {answer['ms']:.1f} ms  {answer['bytes']} bytes"
+                       + (f"  come back in {answer['backoff']} ms" if answer["backoff"] else "")
+                       + ("" if answer["right"] else "  (not what the stand-ins hold for it)"))
+        typer.echo(", ".join(f"{count} x {word}" for word, count in sorted(words.items())))
+    return 0 if set(words) == {"served"} else 1
+
+
+async def _ask(host: str, port: int, cls: str, obj: str, part: int, count: int, budget: int,
+               tenant: str) -> list[dict[str, Any]]:
+    names = {"200": "served", "503": "refused"}
+    loop = asyncio.get_running_loop()
+    client = await Client.connect(host, port)
+    told = []
+    more = {"acct": tenant} if tenant else {}
+    keyed = {"token": os.urandom(16).hex()}
+    for _ in range(count):
+        began = loop.time()
+        async with asyncio.timeout(budget / 1e3 + 5):
+            word, fields, body = await client.ask(cls, obj, part, budget, **more, **keyed)
+        right = word != "200" or body == body_of(obj, str(part))
+        told.append({"answer": names.get(word, "failed"), "ms": (loop.time() - began) * 1e3, "bytes": len(body),
+                     "backoff": fields.get("backoff", ""), "right": right})
+    client.close()
+    return told
--- /dev/null
+++ b/threadhill/standin/dev.py
@@ -0,0 +1,171 @@
+"""A whole installation on loopback: one control plane, the stand-ins that its state names, and its proxies.
+
+The control plane and the proxies are processes of their own, as elsewhere; the stand-ins live in this one. It follows
+the control plane's state: servers and proxies come and go as changes are applied, and a proxy whose configuration has
+changed is started anew.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import secrets
+import signal
+import sys
+import tempfile
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import orjson
+import typer
+
+from threadhill.control import client
+from threadhill.plans.faults import Invalid
+from threadhill.plans.rules import SERVERS
+from threadhill.settings import address
+from threadhill.standin.servers import Fleet
+
+LOOK = 0.1  # seconds between looks at the state
+PATIENCE = 30.0  # seconds that the control plane may take to start
+
+
+class Installation:
+    """What runs, beside the control plane at `api`."""
+
+    def __init__(self, data: Path, api: str, token: str) -> None:
+        self.data, self.api, self.token = data, api, token
+        self.fleet = Fleet()
+        self.proxies: dict[str, tuple[asyncio.subprocess.Process, str]] = {}  # with the configuration that it has
+        self._asked = client.Caller(api, token)
+        self._wanted: tuple[int, dict[str, dict[str, Any]]] = (0, {})
+
+    async def follow(self) -> None:
+        """Make what runs what the state says, for ever."""
+        while True:
+            try:
+                state = await asyncio.to_thread(self._asked, "GET", "/v1/state")
+                if state["version"] != self._wanted[0]:
+                    version = await asyncio.to_thread(self._asked, "GET", f"/v1/versions/{state['version']}")
+                    self._wanted = state["version"], version["wanted"]
+                await self.make({f"{r['kind']}.{r['name']}": r["attrs"] for r in state["records"]})
+            except client.Failed:
+                pass  # it is being restarted
+            await asyncio.sleep(LOOK)
+
+    async def make(self, recorded: Mapping[str, Mapping[str, Any]]) -> None:
+        """Servers run before they are listed, so what is wanted runs too; those that are not recorded any more end."""
+        wanted = {**self._wanted[1], **recorded}
+        settings = wanted.get("settings.settings", {})
+        for id, attrs in wanted.items():
+            kind, name = id.split(".", 1)
+            if kind not in SERVERS:
+                continue
+            where = address(attrs["address"], id)
+            running = self.fleet.servers.get(name)
+            if running is not None and running.address != where:
+                self.fleet.remove(name)
+                running = None
+            if running is None:
+                cold = 0.0 if attrs["warm"] else settings.get("upper_cold_s" if kind == "parent" else "cold_s", 0.0)
+                sources = [s.split(".", 1)[1] for s in attrs.get("fills_from", ())]
+                library = next((i.split(".", 1)[1] for i in wanted if i.startswith("library.")), "")
+                await self.fleet.add(name, kind, where, cold, upstream=sources[0] if sources else library)
+        for name in set(self.fleet.servers) - {i.split(".", 1)[1] for i in wanted if i.split(".", 1)[0] in SERVERS}:
+            self.fleet.remove(name)
+        await self._proxies({i.split(".", 1)[1] for i in recorded if i.startswith("proxy.")})
+
+    async def _proxies(self, names: set[str]) -> None:
+        for name in sorted(set(self.proxies) - names):
+            await self._end(name)
+        for name in sorted(names):
+            file = self.data / "proxies" / f"{name}.json"
+            if not file.exists():
+                continue
+            report = orjson.loads(file.read_bytes())["report"]
+            process, has = self.proxies.get(name, (None, ""))
+            if process is not None and process.returncode is None and has == report:
+                continue
+            if process is not None and process.returncode is None:
+                await self._end(name)
+            started = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "threadhill", "serve",
+                env=os.environ | {"LB_CONFIG": str(file)}, stderr=asyncio.subprocess.DEVNULL, start_new_session=True)
+            self.proxies[name] = started, report
+
+    async def _end(self, name: str) -> None:
+        process, _ = self.proxies.pop(name)
+        if process.returncode is None:
+            process.terminate()
+            await process.wait()
+
+    async def close(self) -> None:
+        self.fleet.close()
+        for name in list(self.proxies):
+            process, _ = self.proxies[name]
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+async def start_control(data: Path, api: str, feed: str, token: str, quiet: bool = False) -> asyncio.subprocess.Process:
+    """A control plane as a process; it answers when this returns."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "threadhill", "control", "--data", str(data), "--api", api, "--feed", feed,
+        env=os.environ | {"THREADHILL_TOKEN": token}, start_new_session=True,
+        stderr=asyncio.subprocess.DEVNULL if quiet else None)
+    ask = client.Caller(api, token)
+    end = asyncio.get_running_loop().time() + PATIENCE
+    while True:
+        try:
+            await asyncio.to_thread(ask, "GET", "/v1/state")
+            return process
+        except client.Failed as error:
+            if process.returncode is not None or asyncio.get_running_loop().time() > end:
+                raise client.Failed("no-control", f"the control plane did not start: {error}") from None
+            await asyncio.sleep(0.05)
+
+
+def dev(folder: Path, data: Path | None, var: list[str]) -> None:
+    """Run it until SIGINT or SIGTERM."""
+    try:
+        wanted = client.read_configuration(folder, client.read_variables([], var))
+    except Invalid as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from None
+    with tempfile.TemporaryDirectory(prefix="threadhill-") as temporary:
+        try:
+            asyncio.run(_dev(wanted, data or Path(temporary)))
+        except (client.Failed, OSError) as error:
+            typer.echo(f"threadhill: {error}", err=True)
+            raise typer.Exit(1) from None
+
+
+async def _dev(wanted: dict[str, Any], data: Path) -> None:
+    api, feed = "127.0.0.1:7400", "127.0.0.1:7401"
+    token = os.environ.get("THREADHILL_TOKEN") or secrets.token_hex(16)
+    stopped = asyncio.Event()
+    for signum in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(signum, stopped.set)
+    process = await start_control(data, api, feed, token, quiet=True)
+    installation = Installation(data, api, token)
+    following = asyncio.ensure_future(installation.follow())
+    try:
+        ask = client.Caller(api, token)
+        plan = await asyncio.to_thread(client.make_plan, ask, wanted, "threadhill dev", False)
+        if plan["steps"] and "unfinished" not in plan:
+            lease = await asyncio.to_thread(client.begin, ask, plan, "dev", "dev", "threadhill dev")
+            await asyncio.to_thread(client.carry_on, ask, lease, lambda told: None)
+        proxies = [r.attrs["listen"] for _, r in sorted(wanted.items()) if r.kind == "proxy"]
+        typer.echo(f"Running. Control plane {api}; proxies {', '.join(proxies)}. In another terminal:\n"
+                   f"  export THREADHILL_TOKEN={token} THREADHILL_PROXY={proxies[0] if proxies else ''}\n"
+                   "  threadhill ask art-pages 7f3a9c21e0b4d655\n"
+                   "  threadhill plan deploy/example -var boxes=7\n"
+                   "Ctrl-C ends everything.")
+        sys.stdout.flush()
+        await stopped.wait()
+    finally:
+        following.cancel()
+        await installation.close()
+        process.terminate()
+        await process.wait()
--- /dev/null
+++ b/threadhill/standin/servers.py
@@ -0,0 +1,301 @@
+"""Cache boxes, upper caches and the library, as far as their lines show: bounded copies, fills, cold starts.
+
+They answer `do`, `undo` and `ping` on real sockets and note what came when. What an object is follows from its name, so
+every answer can be checked. Times are Unix seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from threadhill.decision.hashing import number_of
+
+BASE = 0.004  # seconds that an answer takes at full capacity
+FILL_TIME = 2.0  # seconds after which a fill is given up
+KEPT = 4_000  # copies that a box keeps
+NOTED = 200_000  # arrivals that are remembered
+SMALLEST, LARGEST = 1_000, 24_000  # bytes of a part
+
+
+def body_of(thing: str, nth: str) -> bytes:
+    """The bytes of one part of an object."""
+    size = SMALLEST + number_of(f"{thing}/{nth}") % (LARGEST - SMALLEST)
+    word = f"{thing}/{nth};".encode()
+    return (word * (size // len(word) + 1))[:size]
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that has come whole; `source` is what it says a miss is filled from."""
+
+    at: float
+    cls: str
+    thing: str
+    nth: str
+    source: str
+    fill: bool = False  # asked by another server
+
+
+@dataclass(slots=True)
+class Copies:
+    """Bounded copies: the lowest rank goes first, within it what was used longest ago, and nothing for a lower rank."""
+
+    most: int = KEPT
+    by_rank: list[OrderedDict[tuple[str, str], float]] = field(
+        default_factory=lambda: [OrderedDict() for _ in range(4)])
+
+    def __len__(self) -> int:
+        return sum(len(kept) for kept in self.by_rank)
+
+    def get(self, key: tuple[str, str], rank: int) -> float | None:
+        """When the origin gave this copy out, if it is held; a rank given is its rank from now on."""
+        for held, kept in enumerate(self.by_rank):
+            if key in kept:
+                born = kept.pop(key)
+                self.by_rank[rank or held][key] = born
+                return born
+        return None
+
+    def put(self, key: tuple[str, str], born: float, rank: int) -> None:
+        if not rank:
+            return
+        while len(self) >= self.most:
+            lowest = next(i for i, kept in enumerate(self.by_rank) if kept)
+            if lowest > rank:
+                return
+            self.by_rank[lowest].popitem(last=False)
+        self.by_rank[rank][key] = born
+
+
+class Server:
+    """One stand-in; `kind` is box, parent or library. `where` finds the address of a source by its name."""
+
+    def __init__(self, name: str, kind: str, address: tuple[str, int], where: Callable[[str], tuple[str, int] | None],
+                 cold: float = 0.0, cold_from: float = 0.16, upstream: str = "") -> None:
+        self.name, self.kind, self.address, self.where = name, kind, address, where
+        self.started, self.cold, self.cold_from, self.upstream = time.time(), cold, cold_from, upstream
+        self.copies = Copies()
+        self.arrivals: deque[Arrival] = deque(maxlen=NOTED)
+        self.open = 0
+        self.hits = self.misses = 0
+        self.slow = 1.0
+        self.sources: dict[str, Source] = {}
+        self.filling: dict[tuple[str, str], asyncio.Future[float | None]] = {}
+        self.links: set[Link] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Link(self), *self.address)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    def stop(self) -> None:
+        """End as a process that dies does: connections are reset, and nobody listens any more."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self.links):
+            link.transport.abort()
+        for source in self.sources.values():
+            source.close()
+
+    def capacity(self, now: float) -> float:
+        """The part of its full capacity that it has by now."""
+        if not self.cold:
+            return 1.0
+        return min(1.0, self.cold_from + (1 - self.cold_from) * (now - self.started) / self.cold)
+
+    def report(self) -> str:
+        share = self.hits / (self.hits + self.misses) if self.hits + self.misses else 0.0
+        return f"report=inflight:{self.open};util:{min(1.0, self.open / 32):.2f};x1:0.10;x0:{share:.2f}"
+
+    async def answer(self, fields: dict[str, str], fill: bool) -> tuple[str, float]:
+        """The word, and when the copy was given out."""
+        key = fields.get("thing", ""), fields.get("nth", "0")
+        now, rank = time.time(), int(fields.get("rank", "0"))
+        source = fields.get("from", self.upstream if self.kind == "parent" else "")
+        if self.kind == "library":
+            return "ok", now
+        born = self.copies.get(key, rank)
+        oldest = float(fields.get("oldest", "0")) / 1e3
+        if born is not None and (not oldest or now - born <= oldest):
+            self.hits += 1
+            return "ok", born
+        self.misses += 1
+        if not source or source == self.name or "only-if-cached" in fields.get("mode", "") and self.kind == "parent":
+            return "nothing", 0.0
+        running = self.filling.get(key)
+        if running is None:
+            running = self.filling[key] = asyncio.ensure_future(self._fill(source, fields))
+            running.add_done_callback(lambda done: self.filling.pop(key, None))
+        born = await asyncio.shield(running)
+        if born is None:
+            return "refused", 0.0
+        self.copies.put(key, born, rank if self.kind == "box" else 1)
+        return "ok", born
+
+    async def _fill(self, source: str, fields: dict[str, str]) -> float | None:
+        """Ask the source; when its copy was given out, or None."""
+        link = self.sources.get(source)
+        if link is None or link.lost:
+            address = self.where(source)
+            if address is None:
+                return None
+            try:
+                link = await Source.connect(address)
+            except OSError:
+                return None
+            self.sources[source] = link
+        asked = {name: fields[name] for name in ("profile", "thing", "nth", "oldest") if name in fields}
+        if "only-if-cached" in fields.get("mode", ""):
+            asked["mode"] = "only-if-cached"
+        try:
+            async with asyncio.timeout(FILL_TIME):
+                return await link.ask(asked)
+        except TimeoutError:
+            return None
+
+
+class Lines(asyncio.Protocol):
+    """Lines whose last word may be the length of a body behind them."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.buffer = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        while (end := self.buffer.find(b"\r\n")) >= 0:
+            words = self.buffer[:end].decode("latin-1").split(" ")
+            size = int(words[-1]) + 2 if len(words) == 4 else 0
+            if len(self.buffer) < end + 2 + size:
+                return
+            body = self.buffer[end + 2 : end + 2 + max(0, size - 2)]
+            self.buffer = self.buffer[end + 2 + size :]
+            self.line(words, body)
+
+    def line(self, words: list[str], body: bytes) -> None:
+        raise NotImplementedError
+
+
+def fields_of(text: str) -> dict[str, str]:
+    return dict(item.split("=", 1) for item in text.split(",")) if text != "-" else {}
+
+
+class Link(Lines):
+    """A connection that a proxy or another server has opened."""
+
+    def __init__(self, server: Server) -> None:
+        super().__init__()
+        self.server = server
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.server.links.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.server.links.discard(self)
+        for task in self.tasks.values():
+            task.cancel()
+
+    def line(self, words: list[str], body: bytes) -> None:
+        if words[0] == "ping":
+            self.transport.write(f"{words[1]} yes - 0\r\n\r\n".encode())
+        elif words[0] == "undo":
+            task = self.tasks.pop(words[1], None)
+            if task is not None:
+                task.cancel()
+        elif words[0] == "do" and len(words) == 4:
+            fields = fields_of(words[2])
+            self.server.arrivals.append(Arrival(time.time(), fields.get("profile", ""), fields.get("thing", ""),
+                                                fields.get("nth", "0"), fields.get("from", ""), "fill" in fields))
+            self.tasks[words[1]] = asyncio.ensure_future(self._serve(words[1], fields))
+        else:
+            self.transport.abort()
+
+    async def _serve(self, id: str, fields: dict[str, str]) -> None:
+        server = self.server
+        server.open += 1
+        try:
+            word, born = await server.answer(fields, "fill" in fields)
+            await asyncio.sleep(BASE * server.slow / server.capacity(time.time()))
+            body = body_of(fields.get("thing", ""), fields.get("nth", "0")) if word == "ok" else b""
+            about = f"ver=v{int(born)},born={int(born * 1e3)}," if word == "ok" else ""
+            self.transport.write(f"{id} {word} {about}{server.report()} {len(body)}\r\n".encode() + body + b"\r\n")
+        finally:
+            server.open -= 1
+            self.tasks.pop(id, None)
+
+
+class Source(Lines):
+    """A connection to where fills come from."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lost = False
+        self.waiting: dict[str, asyncio.Future[float | None]] = {}
+        self.number = 0
+
+    @classmethod
+    async def connect(cls, address: tuple[str, int]) -> Source:
+        _, link = await asyncio.get_running_loop().create_connection(cls, *address)
+        return link
+
+    async def ask(self, fields: dict[str, str]) -> float | None:
+        self.number += 1
+        id = f"f{self.number}"
+        future = self.waiting[id] = asyncio.get_running_loop().create_future()
+        words = ",".join(f"{name}={value}" for name, value in {**fields, "fill": "1"}.items())
+        self.transport.write(f"do {id} {words} 0\r\n\r\n".encode())
+        try:
+            return await future
+        finally:
+            self.waiting.pop(id, None)
+
+    def line(self, words: list[str], body: bytes) -> None:
+        future = self.waiting.get(words[0])
+        if future is not None and not future.done():
+            fields = fields_of(words[2])
+            future.set_result(int(fields["born"]) / 1e3 if words[1] == "ok" else None)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.lost = True
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_result(None)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Fleet:
+    """All stand-ins of an installation, by name."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, Server] = {}
+
+    def where(self, name: str) -> tuple[str, int] | None:
+        server = self.servers.get(name)
+        return server.address if server is not None else None
+
+    async def add(self, name: str, kind: str, address: tuple[str, int], cold: float = 0.0, cold_from: float = 0.16,
+                  upstream: str = "") -> Server:
+        server = Server(name, kind, address, self.where, cold, cold_from, upstream)
+        await server.start()
+        self.servers[name] = server
+        return server
+
+    def remove(self, name: str) -> None:
+        self.servers.pop(name).stop()
+
+    def close(self) -> None:
+        for name in list(self.servers):
+            self.remove(name)
