Kill, cut off, fill up and damage the control plane in tests; measure plan and apply

Need: the first path of the control plane was shown on sound machines only.

Change: tests of the ledger on a clock of their own, with a store that dies before or after any commit (each of 11, both ways), leases that run out, altered and forged plans, silent and lagging proxies, a box that goes by itself, a full disk, stores that are cut short, damaged, newer or put back; and of the whole on loopback: 30 drains under load, DNS answers, SIGKILL of control plane and command, restarts of proxies. benchmarks/plan_apply.py measures the issue's figures.

The control plane no longer loads the libraries that read files.

--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,613 @@
+"""The control plane: its ledger and store under faults on a clock of the tests', and whole on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+import sqlite3
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from benchmarks import plan_apply
+from benchmarks.rig import Load, Rig, Watcher, free_ports, until
+from tests.test_dns import SRV, Reply, query
+from tests.test_plans import BASE, read
+from threadhill.control import client, sqlite
+from threadhill.control.ledger import LEASE, Ledger, Refused
+from threadhill.control.sqlite import Sqlite
+from threadhill.control.store import Change, Damaged, Unwritable
+from threadhill.plans import planner, saved
+from threadhill.plans.planner import Observed
+
+GROWN = {"boxes": 5}
+SECOND = 1_000
+
+
+class Dead(Exception):
+    """The process was killed there."""
+
+
+class Fragile(Sqlite):
+    """A store whose process dies at the n-th commit, before it or right after."""
+
+    dies: tuple[int, bool] | None = None
+    commits = 0
+
+    def commit(self, change: Change) -> None:
+        self.commits += 1
+        if self.dies == (self.commits, False):
+            raise Dead
+        super().commit(change)
+        if self.dies == (self.commits, True):
+            raise Dead
+
+
+class Plane:
+    """A ledger on a clock that the test moves, with proxies that apply at once what they are told unless cut off."""
+
+    def __init__(self, folder: Path, names: tuple[str, ...] = ("p-1", "p-2"), store: type[Sqlite] = Sqlite) -> None:
+        self.folder, self.names, self.kind, self.now = folder, names, store, 1_000_000
+        self.cut: set[str] = set()
+        self.down: dict[str, list[str]] = {}
+        self.events: dict[int, bytes] = {}
+        self.applied: dict[str, int] = {}
+        self.open()
+
+    def open(self) -> None:
+        self.store = self.kind(self.folder)
+        self.ledger = Ledger(self.store)
+
+    def kill(self) -> None:
+        """The process is gone; a new one opens the same folder."""
+        self.store.close()
+        self.open()
+
+    def report(self) -> None:
+        """What proxies do: read the feed from their last number, and report."""
+        for name in self.names:
+            if name in self.cut:
+                continue
+            record = self.ledger.fleet.records.get(f"proxy.{name}")
+            for pos, line in self.ledger.lines(self.applied.get(name, 0)):
+                assert self.events.setdefault(pos, line) == line, f"event {pos} was told as two things"
+                self.applied[name] = pos
+            config = record.attrs["config"] if record else "none"
+            self.ledger.members.report({"proxy": name, "applied": self.applied.get(name, 0), "config": config,
+                                        "up": [], "down": self.down.get(name, [])}, self.now)
+
+    def plan(self, text: str = BASE, **given: object) -> dict:
+        wanted = read(text, **given)
+        plan = planner.plan(wanted, self.ledger.fleet.records.values(), Observed())
+        return saved.document(plan, wanted, self.ledger.meta["version"], self.ledger.meta["serial"])
+
+    def begin(self, plan: dict, holder: str = "one"):  # noqa: ANN201
+        return self.ledger.begin(plan, holder, "tests", "", self.now)
+
+    def turn(self, apply, step: int = 200) -> dict:  # noqa: ANN001
+        self.report()
+        told = self.ledger.advance(apply.number, apply.token, self.now)
+        self.now += step
+        return told
+
+    def finish(self, apply) -> dict:  # noqa: ANN001
+        for _ in range(500):
+            told = self.turn(apply)
+            if told["state"] != "open":
+                return told
+        raise AssertionError(f"does not end: {told}")
+
+    def apply(self, text: str = BASE, **given: object) -> dict:
+        return self.finish(self.begin(self.plan(text, **given)))
+
+
+def effects(plane: Plane, after: int = 0) -> Counter:
+    return Counter(plan_apply.effect_of(line) for pos, line in plane.events.items() if pos > after)
+
+
+# --- kills
+
+def test_killed_at_every_commit_the_next_plan_is_true_and_no_step_takes_effect_twice(tmp_path: Path) -> None:
+    changed = BASE.replace('tenant "agencies"', 'tenant "brokers"').replace("size    = 8", "size    = 9")
+    reference = Plane(tmp_path / "reference", store=Fragile)
+    reference.apply()
+    first = reference.store.commits
+    reference.apply(changed, boxes=5)
+    total = reference.store.commits - first
+    assert total > 8
+    for n in range(1, total + 1):
+        for after in (False, True):
+            plane = Plane(tmp_path / f"{n}-{after}", store=Fragile)
+            plane.apply()
+            start = plane.ledger.pos
+            plan = plane.plan(changed, boxes=5)
+            plane.store.dies = plane.store.commits + n, after
+            apply = None
+            try:
+                apply = plane.begin(plan)
+                plane.finish(apply)
+                raise AssertionError("was not killed")
+            except Dead:
+                plane.kill()
+            plane.report()
+            told = plane.ledger.unfinished()
+            seen = effects(plane, start)
+            if told is not None:  # what is told of each step is what happened
+                by_id = {s["id"]: plan_apply.step_effect(s) for s in plan["steps"]}
+                for id, state in told["steps"].items():
+                    if by_id[id] is not None:
+                        assert (state != "left") == bool(seen[by_id[id]]), (n, after, id, state)
+                left = {s.id for s in planner.plan(read(changed, boxes=5), plane.ledger.fleet.records.values()).steps}
+                assert left == {id for id, state in told["steps"].items() if state == "left"}
+                plane.now += LEASE + 1
+                assert plane.finish(plane.ledger.resume(told["apply"], "two", plane.now))["state"] == "done"
+            elif plane.ledger.meta["version"] == 1:  # killed before it began
+                plane.apply(changed, boxes=5)
+            assert not plane.plan(changed, boxes=5)["steps"] and plane.ledger.open is None
+            assert effects(plane, start) == effects(reference, start), (n, after)
+            plane.store.close()
+
+
+def test_control_plane_and_command_are_killed_while_they_work(tmp_path: Path) -> None:
+    found = asyncio.run(plan_apply.kills(tmp_path, 7, 3))
+    assert found["kills"] >= 3 and not found["kills_untrue"] and not found["events_twice"]
+
+
+def test_the_command_is_killed_and_another_resumes(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Rig(tmp_path, "127.0.31.1", proxies=1, cold_s=0.6) as rig:
+            await rig.apply(rig.make(["0", "1"]))
+            await rig.live()
+            file = tmp_path / "new.hcl"
+            file.write_text(rig.make({"0": True, "1": True, "2": False, "3": False}))
+            killed = await rig.command("apply", str(file))
+            await killed.stdout.readuntil(b"begun")
+            killed.kill()
+            await killed.wait()
+            plan = await rig.command("plan", str(file), "--no-forecast")
+            out, _ = await plan.communicate()
+            assert b"is not finished: 0 done, 1 in doubt, 1 left" in out and b"? add box.b-2" in out
+            other = await rig.command("apply", str(file))
+            _, err = await other.communicate()
+            assert other.returncode == 4 and b"unfinished" in err
+            resumed = await rig.command("apply", "--resume")
+            out, err = await resumed.communicate()
+            assert resumed.returncode == 0 and b"is done: state version 2" in out, err
+            plan = await rig.command("plan", str(file), "--no-forecast")
+            assert await plan.wait() == 0
+
+    asyncio.run(scene())
+
+
+# --- leases, conflicts, saved plans
+
+def refused(code: str, call: Callable[..., object], *words: object) -> None:
+    with pytest.raises(Refused) as caught:
+        call(*words)
+    assert caught.value.code == code
+
+
+def test_one_applier_at_a_time_and_one_that_lost_its_lease_does_nothing_more(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply()
+    plan, other = plane.plan(boxes=5), plane.plan(boxes=6)
+    one = plane.begin(plan)
+    refused("unfinished", plane.begin, other, "two")
+    plane.turn(one)
+    refused("leased", plane.ledger.resume, one.number, "two", plane.now)
+    refused("leased", plane.ledger.abandon, one.number, "two", plane.now)
+    plane.now += LEASE + 1
+    two = plane.ledger.resume(one.number, "two", plane.now)
+    before = plane.ledger.pos, dict(plane.ledger.states)
+    for _ in range(30):
+        plane.now += 1_000  # long enough for the next step to be due
+        refused("lease-lost", plane.ledger.advance, one.number, one.token, plane.now)
+    assert before == (plane.ledger.pos, plane.ledger.states)
+    assert plane.finish(two)["state"] == "done"
+    refused("not-open", plane.ledger.advance, two.number, two.token, plane.now)
+    refused("conflict", plane.begin, other)
+
+
+def test_a_plan_is_carried_out_as_saved_or_not_at_all(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply()
+    plan = plane.plan(boxes=5)
+    plane.report()
+    plane.ledger.tick(plane.now + 60 * SECOND)  # time alone is no reason to plan again
+    raw = json.dumps(plan)
+    altered = raw.replace("127.0.0.1:19013", "127.0.0.1:19014", 1)
+    refused("bad-plan", plane.begin, json.loads(altered))
+    forged = {k: v for k, v in json.loads(raw).items() if k != "digest"}
+    forged["steps"] = forged["steps"][1:]  # well formed, with a digest that fits, and not what its files lead to
+    refused("bad-plan", plane.begin, forged | {"digest": planner.digest(forged)})
+    assert plane.ledger.open is None and plane.ledger.meta["version"] == 1
+    plane.apply(boxes=4)
+    refused("conflict", plane.begin, plan)
+    plane.finish(plane.begin(plane.plan(boxes=5)))
+    back = saved.resources_of(plane.store.version(2).wanted)
+    assert {s.id for s in planner.plan(back, plane.ledger.fleet.records.values()).steps} == {
+        "drain box.costa-4", "remove box.costa-4"}
+
+
+def test_an_abandoned_apply_leaves_a_state_that_a_plan_tells_truly(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply()
+    apply = plane.begin(plane.plan(boxes=5))
+    plane.turn(apply)
+    plane.ledger.abandon(apply.number, "one", plane.now)
+    assert [s["id"] for s in plane.plan(boxes=5)["steps"]] == ["add box.costa-4"]
+    assert [s["id"] for s in plane.plan()["steps"]] == ["drain box.costa-3", "remove box.costa-3"]
+    assert [v.state for v in plane.store.versions(99, 9)] == ["abandoned", "applied"]
+    assert plane.apply()["state"] == "done"
+
+
+# --- proxies that are silent, restarted, cut off, ahead; servers that go by themselves
+
+def test_a_step_waits_for_each_live_proxy_and_says_whom_it_did_not_wait_for(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply(boxes=4)
+    apply = plane.begin(plane.plan(boxes=3))
+    plane.report()
+    plane.cut = {"p-2"}
+    plane.turn(apply)
+    drained = plane.now
+    waits = {}
+    while "box.costa-3" in plane.ledger.fleet.records:
+        told = plane.turn(apply)
+        waits |= told["waits"]
+        assert plane.now < drained + 60 * SECOND
+    assert "proxies p-2 to apply" in " ".join([*waits.values()]) or plane.now - drained >= 7 * SECOND
+    assert plane.now - drained >= 7 * SECOND  # what a silent one has not heard counts as told by then
+    end = plane.finish(apply)
+    notes = [s.note for s in plane.store.steps(apply.number).values()]
+    assert end["state"] == "done" and any("silent, not waited for: p-2" in note for note in notes)
+    odd = plane.ledger.observed(plane.now)["odd"]
+    assert set(odd) == {"proxy.p-2"} and "silent for" in odd["proxy.p-2"]
+    plane.cut = set()  # it comes back with its old number and misses nothing
+    plane.report()
+    assert plane.applied["p-2"] == plane.ledger.pos and not plane.ledger.observed(plane.now)["odd"]
+
+
+def test_a_live_proxy_that_lags_is_waited_for_however_long(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply(boxes=4)
+    apply = plane.begin(plane.plan(boxes=3))
+    stuck = dict(plane.applied)
+    for _ in range(200):
+        plane.ledger.advance(apply.number, apply.token, plane.now)
+        for name in plane.names:
+            config = plane.ledger.fleet.records[f"proxy.{name}"].attrs["config"]
+            plane.ledger.members.report({"proxy": name, "applied": stuck[name], "config": config}, plane.now)
+        plane.now += 200
+    assert plane.ledger.fleet.records["box.costa-3"].phase.value == "draining"
+    assert plane.finish(apply)["state"] == "done"
+
+
+def test_a_box_that_goes_by_itself_halts_the_apply_and_shows_as_drift(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply()
+    apply = plane.begin(plane.plan(boxes=5))
+    plane.turn(apply)
+    plane.down = {"p-1": ["costa-3"], "p-2": ["costa-3"]}
+    told = plane.finish(apply)
+    assert told["state"] == "halted" and "no live proxy reaches it" in told["halted"]
+    assert plane.ledger.observed(plane.now)["gone"] == ["box.costa-3"]
+    plane.ledger.abandon(apply.number, "one", plane.now)
+    plane.down = {}
+    plane.apply()  # back to three: the one that went is drained and removed
+    assert "box.costa-3" not in plane.ledger.fleet.records
+
+
+def test_a_box_comes_at_the_address_of_one_just_removed(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply(boxes=4)
+    start = plane.ledger.pos
+    plane.apply(BASE + 'box "late" {\n  node    = node.costa-1\n  address = "127.0.0.1:19013"\n}\n', boxes=3)
+    told = [plan_apply.effect_of(plane.events[pos]) for pos in sorted(plane.events) if pos > start]
+    assert told == [("DRAINING", "costa-3"), ("DELETED", "costa-3"), ("SERVING", "late")]
+
+
+def test_numbers_go_on_after_a_restart_and_behind_a_proxy_that_has_seen_more(tmp_path: Path) -> None:
+    plane = Plane(tmp_path / "a")
+    plane.apply()
+    sqlite.take_snapshot(tmp_path / "a", tmp_path / "snapshot")
+    plane.apply(boxes=4)
+    seen = plane.ledger.pos
+    plane.store.close()
+    meta = sqlite.restore(tmp_path / "a", tmp_path / "snapshot")
+    assert meta["pos"] > seen  # the old store told more numbers than the snapshot knows
+    plane.open()
+    plane.report()
+    plane.apply(boxes=4)
+    assert plane.ledger.pos > seen and "box.costa-3" in plane.ledger.fleet.records
+    # The old store is lost as a whole, and a proxy has numbers from it.
+    plane.store.close()
+    sqlite.restore(tmp_path / "b", tmp_path / "snapshot")
+    other = Plane(tmp_path / "b")
+    other.ledger.jump(seen + 50)
+    ((pos, line),) = other.ledger.lines(seen + 50)
+    assert pos == seen + 51 and json.loads(line)["hosts"]["complete"]
+    assert len(json.loads(line)["hosts"]["members"]) == 6
+
+
+def test_a_proxy_whose_number_is_no_longer_kept_gets_the_whole_list(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply()
+    plane.store.commit(Change(forget_events=4))
+    plane.ledger = Ledger(plane.store)
+    ((pos, line),) = plane.ledger.lines(2)
+    assert pos == plane.ledger.pos and json.loads(line)["hosts"]["complete"]
+    assert [p for p, _ in plane.ledger.lines(4)] == list(range(5, plane.ledger.pos + 1))
+
+
+# --- stores that are full, damaged or newer
+
+def test_a_full_disk_is_told_and_nothing_is_lost(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply()
+    pages = plane.store.db.execute("PRAGMA page_count").fetchone()[0]
+    plane.store.db.execute(f"PRAGMA max_page_count = {pages}")
+    before = plane.ledger.state()
+    many = BASE + 'tenant "many" {\n  for_each = range(300)\n  zones = ["z${each.key}.example"]\n}\n'
+    with pytest.raises(Unwritable, match="full; nothing was changed"):
+        plane.apply(many)
+    plane.store.db.execute("PRAGMA max_page_count = 1000000")
+    assert plane.ledger.state() == before or plane.ledger.open is not None
+    plane.kill()
+    if plane.ledger.open is not None:
+        plane.finish(plane.ledger.resume(plane.ledger.open.number, "one", plane.now))
+    else:
+        assert plane.ledger.state() == before
+        plane.apply(many)
+    assert not plane.plan(many)["steps"]
+
+
+def test_a_store_that_is_not_whole_is_never_served_from(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply()
+    plane.store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    plane.store.close()
+    path, whole = tmp_path / sqlite.NAME, (tmp_path / sqlite.NAME).read_bytes()
+    sqlite.take_snapshot(tmp_path, tmp_path / "good")
+    for broken in (whole[: len(whole) // 2], whole[:100], b"", b"not a database" * 500,
+                   whole[:8_192] + os.urandom(8_192) + whole[16_384:]):
+        path.write_bytes(broken)
+        with pytest.raises(Damaged, match="state restore"):
+            Sqlite(tmp_path)
+        assert path.read_bytes() == broken  # nothing was written over it
+    path.unlink()
+    with pytest.raises(Damaged, match="missing"):
+        Sqlite(tmp_path)
+    with pytest.raises(Damaged):
+        sqlite.restore(tmp_path, tmp_path / "no such file")
+    (tmp_path / "bad").write_bytes(whole[:5_000])
+    with pytest.raises(Damaged):
+        sqlite.restore(tmp_path, tmp_path / "bad")
+    sqlite.restore(tmp_path, tmp_path / "good")
+    plane.open()
+    assert not plane.plan()["steps"]
+    with pytest.raises(Damaged, match="in use"):
+        Sqlite(tmp_path)
+    plane.store.close()
+
+
+def test_schemas_older_ones_are_brought_up_and_newer_ones_refused(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply()
+    plane.store.close()
+    db = sqlite3.connect(tmp_path / sqlite.NAME)
+    db.execute("DROP INDEX open_applies")
+    db.execute("UPDATE meta SET value = 1 WHERE name = 'schema'")
+    db.commit()
+    plane.open()
+    assert plane.store.meta()["schema"] == sqlite.SCHEMA and not plane.plan()["steps"]
+    assert (tmp_path / "state.schema-1.db").exists()
+    plane.store.close()
+    db.execute("UPDATE meta SET value = 99 WHERE name = 'schema'")
+    db.commit()
+    db.close()
+    with pytest.raises(Damaged, match="schema 99 and this program knows"):
+        Sqlite(tmp_path)
+
+
+# --- whole, on loopback
+
+def test_thirty_drains_under_load_reach_nobody_after_a_quarter_of_a_second(tmp_path: Path) -> None:
+    found = asyncio.run(plan_apply.drains(tmp_path / "rig", 3, 60, 30))
+    assert found["drains"] >= 30 and found["drain_late"] == 0 and found["drain_served"] > 0.9
+
+
+def test_no_dns_answer_names_a_drained_box_after_a_quarter_of_a_second(tmp_path: Path) -> None:
+    async def scene() -> None:
+        host = "127.0.37.1"
+        (port,) = free_ports(host, 1)
+        operator = tmp_path / "operator.toml"
+        operator.write_text(f'[dns]\nlisten = "{host}:{port}"\n')
+        more = 'tenant "acme" {\n  zones = ["route.example"]\n}\n'
+        async with Rig(tmp_path / "rig", host, proxies=1, operator=str(operator), settle_s=0.5) as rig:
+            names = [str(i) for i in range(5)]
+            await rig.apply(rig.make(names) + more)
+            await rig.live()
+            answers: list[tuple[float, int]] = []
+
+            class Resolver(asyncio.DatagramProtocol):
+                def datagram_received(self, data: bytes, peer: object) -> None:
+                    found = [d for section in Reply(data).sections[:1] for kind, _, d in section if kind == SRV]
+                    answers.extend((time.time(), int.from_bytes(d[4:6], "big")) for d in found)
+
+            transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(Resolver, remote_addr=(host, port))
+
+            async def ask() -> None:
+                for i in itertools.count():
+                    transport.sendto(query(f"_http._tcp.0.{i:016x}.art-pages.acme.route.example", SRV))
+                    await asyncio.sleep(0.02)
+
+            asking = asyncio.ensure_future(ask())
+            await until(lambda: len({p for _, p in answers}) >= 4, "answers that name the boxes")
+            for out in ("0", "1", "2"):
+                await rig.apply(rig.make([n for n in names if n != out]) + more)
+                seen = len(answers)
+                await until(lambda seen=seen: len(answers) > seen + 10, "more answers")
+                await rig.apply(rig.make(names) + more)
+            asking.cancel()
+            transport.close()
+            db = sqlite3.connect(tmp_path / "rig" / sqlite.NAME)
+            begun = dict(db.execute("SELECT apply || ' ' || id, at FROM steps WHERE pos > 0"))
+            db.close()
+            drained = [key for key in begun if " drain " in key]
+            assert len(drained) == 3
+            for key in drained:
+                apply, _, name = key.split(" ")
+                back = begun[f"{int(apply) + 1} add {name}"] / 1e3
+                place = rig.ports[int(name[-1])]
+                late = [at for at, p in answers if p == place and begun[key] / 1e3 + 0.25 < at < back]
+                assert not late and any(p == place for _, p in answers)
+
+    asyncio.run(scene())
+
+
+def test_the_feed_bears_slow_readers_bad_lines_and_a_restart(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Rig(tmp_path, "127.0.33.1", proxies=1, silent_s=1) as rig:
+            watcher = Watcher(rig.feed)
+            host, _, port = rig.feed.rpartition(":")
+            await rig.apply(rig.make(["0", "1"]))
+            for junk in (b"tail x\n", b"tail 99999999999999999\n", b"hello\n", b"{\n", b"x" * 70_000, b"\xff\n"):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(junk)
+                with suppress(ConnectionError):
+                    assert await asyncio.wait_for(reader.read(), 20) == b""
+                writer.close()
+            deaf_reader, deaf = await asyncio.open_connection(host, int(port), limit=1_024)
+            deaf.write(b"tail 0\n")  # and never reads
+            await rig.kill_control()
+            await rig.start_control()
+            await rig.apply(rig.make(["0", "1"], tenants={f"t{i}": 1 for i in range(400)}))
+            last = (await rig.get("/v1/state"))["pos"]
+            await until(lambda: max(watcher.events, default=0) >= last, "all events")
+            assert sorted(watcher.events) == list(range(1, last + 1)) and not watcher.twice
+            await until(lambda: watcher.numbers, "the last number by itself")
+            deaf.close()
+            watcher.task.cancel()
+
+    asyncio.run(scene())
+
+
+def test_a_proxy_is_restarted_and_cut_off_during_an_apply(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Rig(tmp_path, "127.0.34.1", proxies=2, cold_s=1.0, silent_s=2) as rig:
+            await rig.apply(rig.make(["0", "1", "2"]))
+            await rig.live()
+            load = Load()
+            running = asyncio.ensure_future(load.run(rig.addresses, plan_apply.mix(40), 5))
+            plan = await rig.plan(rig.make({"0": True, "1": True, "2": True, "3": False, "4": False}))
+            applying = asyncio.ensure_future(rig.carry_on(await rig.begin(plan)))
+            process, _ = rig.installation.proxies["p-0"]
+            process.kill()  # the installation starts it anew, from its configuration file
+            assert (await applying)["state"] == "done"
+            await rig.live()
+            load.stopped = True
+            await running
+            seen = {p["name"]: p for p in (await rig.get("/v1/observed"))["proxies"]}
+            assert all(p["state"] == "live" and p["behind"] == 0 for p in seen.values())
+            assert load.answers["200"] > 40 and not load.wrong
+
+    asyncio.run(scene())
+
+
+def test_the_command_line_tells_faults_and_codes(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Rig(tmp_path, "127.0.35.1", proxies=0, silent_s=1) as rig:
+            async def run(*words: str) -> tuple[int, str, str]:
+                process = await rig.command(*words)
+                out, err = await process.communicate()
+                assert b"Traceback" not in err
+                return process.returncode, out.decode(), err.decode()
+
+            async def alone(*words: str) -> tuple[int, str]:
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "threadhill", *words,
+                    stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+                return (await process.wait()), (await process.stdout.read()).decode()
+
+            file, out = tmp_path / "a.hcl", tmp_path / "saved.plan"
+            file.write_text(rig.make(["0"]) + 'box "x" {\n  colour = 1\n}\n')
+            code, _, err = await run("plan", str(file))
+            assert code == 1 and f"{file}:" in err
+            assert "box.x: colour: no such key" in err and "address: is missing" in err
+            file.write_text(rig.make(["0"]))
+            assert (await alone("validate", str(file)))[0] == 0
+            assert (await alone("fmt", "--check", str(file)))[0] == 2 and (await alone("fmt", str(file)))[0] == 0
+            assert (await alone("fmt", "--check", str(file)))[0] == 0
+            code, told, _ = await run("plan", str(file), "--out", str(out), "--json", "--no-forecast")
+            assert code == 2 and json.loads(told)["digest"] == json.loads(out.read_text())["digest"]
+            assert (await run("apply", str(out), "--why", "first"))[0] == 0
+            assert (await run("plan", str(file)))[0] == 0
+            code, _, err = await run("apply", str(out))
+            assert code == 4 and "plan again" in err
+            out.write_text(out.read_text().replace("b-0", "b-1"))
+            code, _, err = await run("apply", str(out))
+            assert code == 4 and "digest" in err or code == 1 and "digest" in err
+            code, told, _ = await run("history")
+            assert code == 0 and "applied" in told and "first" in told
+            assert "warm      box.b-0" in (await run("show"))[1] and "box.b-0" in (await run("show", "1"))[1]
+            assert (await run("plan", "--to", "1"))[0] == 0 and (await run("show", "9"))[0] == 1
+            code, told = await alone("plan", str(file), "--control", rig.api, "--token", "wrong" * 8)
+            assert code == 1 and "unauthorized" in told
+            for words in (("control", "--data", str(tmp_path), "--token", "t" * 20),
+                          ("control", "--data", str(tmp_path / "new"), "--token", "short"),
+                          ("control", "--data", str(tmp_path / "new"), "--token", "t" * 20, "--api", "10.0.0.1:1")):
+                code, told = await alone(*words)
+                assert code == 1 and "Traceback" not in told and told.startswith("threadhill: ")
+
+    asyncio.run(scene())
+
+
+def test_a_smoke_of_the_benchmark(tmp_path: Path) -> None:
+    found = plan_apply.plan_size(tmp_path, 100, 10)
+    assert found["plan_blocked"] == 0 and found["plan_steps"] > 110
+    (tmp_path / "growth").mkdir()
+    grown = asyncio.run(plan_apply.growth(tmp_path / "growth", 2, 60, 2, 0.5))
+    assert grown["state"] == "done" and grown["cold_worst"] < 2.5 and not grown["wrong"]
+
+
+def test_tenants_reach_the_proxies_and_survive_their_restart(tmp_path: Path) -> None:
+    async def scene() -> None:
+        from threadhill.standin.ask import Client
+
+        async with Rig(tmp_path, "127.0.36.1", proxies=1) as rig:
+            await rig.apply(rig.make(["0", "1"], tenants={"a": 0.01}))
+            await rig.live()
+
+            async def words(name: str) -> list[str]:
+                one = await Client.connect(*rig.addresses[0])
+                found = [(await one.ask("art-pages", "7f3a9c21e0b4d655", acct=name))[0] for _ in range(2)]
+                one.close()
+                return found
+
+            assert await words("t-a") == ["200", "503"] and await words("nobody") == ["500", "500"]
+            process, _ = rig.installation.proxies["p-0"]
+            process.kill()
+            await process.wait()
+            await until(lambda: rig.installation.proxies["p-0"][0] is not process, "a new process")
+            end = time.monotonic() + 40
+            while time.monotonic() < end:
+                with suppress(OSError):
+                    if await words("nobody") == ["500", "500"]:
+                        break
+                await asyncio.sleep(0.1)
+            assert await words("t-a") == ["200", "503"]
+
+    asyncio.run(scene())
+
+
+def test_a_control_plane_that_cannot_be_reached_is_told_in_a_line() -> None:
+    with pytest.raises(client.Unreached):
+        client.Caller("127.0.0.1:9", "t")("GET", "/v1/state")
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -13,9 +13,9 @@
 
 from tests.world import ROOT
 from threadhill.plans import configuration, fmt, forecast, planner, rules, saved, syntax
-from threadhill.plans.configuration import Resource
 from threadhill.plans.faults import Invalid
 from threadhill.plans.planner import Observed
+from threadhill.plans.resource import Resource
 from threadhill.plans.rules import Fleet, Phase, Record
 
 EXAMPLE = ROOT / "deploy" / "example"
--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -193,25 +193,25 @@
 
     Example: THREADHILL_TOKEN=a-long-secret threadhill control --data data
     """
-    from threadhill.control import commands
+    from threadhill.control import service
 
-    commands.control(data, token, api, feed, json)
+    service.control(data, token, api, feed, json)
 
 
 @state_app.command("snapshot")
 def state_snapshot(file: Path, data: Data) -> None:
     """Copy the store to FILE, while the control plane runs or not; the copy is checked."""
-    from threadhill.control import commands
+    from threadhill.control import service
 
-    commands.snapshot(data, file)
+    service.snapshot(data, file)
 
 
 @state_app.command("restore")
 def state_restore(file: Path, data: Data) -> None:
     """Put a snapshot in the place of the store. The control plane must be stopped; the old store is kept beside it."""
-    from threadhill.control import commands
+    from threadhill.control import service
 
-    commands.restore(data, file)
+    service.restore(data, file)
 
 
 @app.command()
--- a/threadhill/control/client.py
+++ b/threadhill/control/client.py
@@ -43,7 +43,18 @@
         self._connection: http.client.HTTPConnection | None = None
 
     def __call__(self, method: str, path: str, body: Any = None) -> Any:
-        """One call; its answer. Raises Failed, or Unreached where no answer came."""
+        """One call; its answer. Raises Failed, or Unreached where no answer came. A connection that was kept may
+        have gone with a control plane that was restarted: what may be asked twice is, on a new one."""
+        if path == "/v1/applies":  # asked twice it would be refused for itself
+            self.close()
+        if self._connection is not None:
+            try:
+                return self._call(method, path, body)
+            except Unreached:
+                pass
+        return self._call(method, path, body)
+
+    def _call(self, method: str, path: str, body: Any) -> Any:
         raw = None if body is None else orjson.dumps(body)
         try:
             if self._connection is None:
--- a/threadhill/control/commands.py
+++ b/threadhill/control/commands.py
@@ -21,7 +21,7 @@
 from threadhill.plans import configuration, forecast, saved, syntax
 from threadhill.plans.faults import Fault, Invalid
 from threadhill.plans.fmt import canonical
-from threadhill.settings import Malformed, address
+from threadhill.settings import Malformed
 
 CONFLICTS = ("conflict", "unfinished", "leased", "lease-lost", "bad-plan")
 LEASE_WAIT = 10.0  # seconds that --resume waits for a dead applier's lease
@@ -282,41 +282,3 @@
              f"{proxy['seen_ms'] / 1e3:.1f} s ago{config}")
     for id in seen["gone"]:
         _say(f"  ! {id}: no live proxy reaches it")
-
-
-@told
-def control(data: Path, token: str, api: str, feed: str, json: bool) -> None:
-    from threadhill.control.server import BadStart, Places, serve
-
-    if len(token) < 16:
-        raise Malformed("--token or THREADHILL_TOKEN must have 16 characters at least")
-    places = Places(data, _loopback(api, "--api"), _loopback(feed, "--feed"), token)
-    try:
-        serve(places, json)
-    except BadStart as error:
-        _complain(error)
-        raise typer.Exit(ERROR) from None
-
-
-def _loopback(text: str, what: str) -> tuple[str, int]:
-    host, port = address(text, what)
-    if not host.startswith("127.") and host != "::1":
-        raise Malformed(f"{what} {text}: loopback only, while there is no TLS: use 127.0.0.1:{port}")
-    return host, port
-
-
-@told
-def snapshot(data: Path, file: Path) -> None:
-    from threadhill.control.sqlite import take_snapshot
-
-    take_snapshot(data, file)
-    _say(f"{file}: {file.stat().st_size} bytes, checked")
-
-
-@told
-def restore(data: Path, file: Path) -> None:
-    from threadhill.control import sqlite
-
-    meta = sqlite.restore(data, file)
-    _say(f"{data}: state version {meta['version']}; event numbers go on from {meta['pos'] + 1}. What was there is "
-         f"kept as {data}/replaced.{sqlite.NAME}")
--- a/threadhill/control/feed.py
+++ b/threadhill/control/feed.py
@@ -92,7 +92,7 @@
             self._reported(raw)
 
     def ahead(self, last: int) -> None:
-        self.ledger.jump(last, self.door.engine.clock.now() // 1_000)
+        self.ledger.jump(last)
 
     def _beat(self) -> None:
         for guest in list(self.door.guests):
--- a/threadhill/control/ledger.py
+++ b/threadhill/control/ledger.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import bisect
+import itertools
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -17,8 +19,8 @@
 from threadhill.control.membership import Members
 from threadhill.control.store import Apply, Change, StepState, Store, Version
 from threadhill.plans import options, planner, rules, saved
-from threadhill.plans.configuration import Resource
 from threadhill.plans.planner import Step
+from threadhill.plans.resource import Resource
 from threadhill.plans.rules import SERVERS, Fleet, Phase, Record
 
 LEASE = 5_000  # milliseconds that an applier keeps its lease without a word
@@ -51,6 +53,9 @@
         self.fleet = Fleet.of(store.records(), {})
         self._whole: bytes | None = None  # all servers and tenants as one event, while nothing has changed
         self._refresh()
+        if self.pos > (self.recent[-1][0] if self.recent else 0):
+            # A snapshot was put back: what proxies were told up to this number is not what this store knows.
+            self._tell_whole(self.pos + 1)
 
     def _refresh(self) -> None:
         """What follows from the records and the open apply: what holds where, and how long silence is waited for."""
@@ -173,12 +178,12 @@
         if change.events:
             self.published()
         finished = all(s.id in self.states and self.states[s.id].state == "done" for s in self.steps)
+        told = {"done": sum(s.state == "done" for s in self.states.values()), "steps": len(self.steps)}
         if finished:
             self._close("done", now)
-        return {"apply": number, "state": "done" if finished else "halted" if moves.halted else "open",
-                "halted": moves.halted, "done": sum(s.state == "done" for s in self.states.values()),
-                "begun": [s.id for s in moves.begin], "confirmed": [[s.id, s.note] for s in moves.done],
-                "steps": len(self.steps), "waits": dict(list(moves.waits.items())[:20])}
+        return {**told, "apply": number, "state": "done" if finished else "halted" if moves.halted else "open",
+                "halted": moves.halted, "begun": [s.id for s in moves.begin],
+                "confirmed": [[s.id, s.note] for s in moves.done], "waits": dict(list(moves.waits.items())[:20])}
 
     def abandon(self, number: int, who: str, now: int) -> None:
         """End an open apply where it stands: what is done stays, what is under way comes to its end by itself."""
@@ -238,20 +243,20 @@
             return []
         if not self.recent or self.oldest > after + 1:
             return [(self.pos, self.whole_line())]
-        first = self.recent[0][0]
-        if after + 1 >= first:
-            begin = after + 1 - first
-            if self.recent[begin][0] == after + 1:
-                return [self.recent[i] for i in range(begin, min(len(self.recent), begin + limit))]
-        return self.store.events(after, limit)
-
-    def jump(self, seen: int, now: int) -> None:
+        if after + 1 < self.recent[0][0]:
+            return self.store.events(after, limit)
+        begin = bisect.bisect_right(self.recent, after, key=lambda event: event[0])  # numbers may have jumped
+        return list(itertools.islice(self.recent, begin, begin + limit))
+
+    def jump(self, seen: int) -> None:
         """A proxy has seen numbers beyond the last one, so a store was put back that did not know them: number on
         behind those, with the whole list, so that nobody takes a new event for an old one."""
-        pos = seen + 1
+        self._tell_whole(seen + 1)
+        self.published()
+
+    def _tell_whole(self, pos: int) -> None:
         self._commit(Change(events=[(pos, orjson.dumps({**self.whole(), "pos": pos}) + b"\n")]))
         self._whole = None
-        self.published()
 
     def configuration(self, name: str) -> dict[str, Any] | None:
         """What LB_CONFIG is to hold for this proxy, without where the journal service is."""
--- a/threadhill/control/server.py
+++ b/threadhill/control/server.py
@@ -32,10 +32,6 @@
 BODY = 32 << 20  # bytes of a call: the plan of a large installation
 
 
-class BadStart(Exception):
-    """The control plane can't start; the text says what to do."""
-
-
 @dataclass(frozen=True, slots=True)
 class Places:
     """Where a control plane listens and keeps what it has."""
@@ -156,12 +152,9 @@
 
 
 def serve(places: Places, json: bool = False) -> None:
-    """Run a control plane until it is told to stop. Raises Damaged or BadStart."""
+    """Run a control plane until it is told to stop. Raises Damaged, or OSError where it can't listen."""
 
     async def main() -> None:
         await Control(places, logger(json)).run()
 
-    try:
-        asyncio.run(main())
-    except OSError as error:
-        raise BadStart(str(error)) from None
+    asyncio.run(main())
--- /dev/null
+++ b/threadhill/control/service.py
@@ -0,0 +1,58 @@
+"""Commands that run a control plane or handle its store. They load none of the libraries that read files."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import Any
+
+import typer
+
+from threadhill.cli_codes import ERROR
+from threadhill.control import sqlite
+from threadhill.control.store import Damaged, Unwritable
+from threadhill.settings import Malformed, address
+
+
+def told(command: Callable[..., None]) -> Callable[..., None]:
+    """Faults that a user can mend are told in a line."""
+
+    @wraps(command)
+    def run(*words: Any) -> None:
+        try:
+            command(*words)
+        except (Damaged, Unwritable, Malformed, OSError) as error:
+            typer.echo(f"threadhill: {error}", err=True)
+            raise typer.Exit(ERROR) from None
+
+    return run
+
+
+@told
+def control(data: Path, token: str, api: str, feed: str, json: bool) -> None:
+    from threadhill.control.server import Places, serve
+
+    if len(token) < 16:
+        raise Malformed("--token or THREADHILL_TOKEN must have 16 characters at least")
+    serve(Places(data, _loopback(api, "--api"), _loopback(feed, "--feed"), token), json)
+
+
+def _loopback(text: str, what: str) -> tuple[str, int]:
+    host, port = address(text, what)
+    if not host.startswith("127.") and host != "::1":
+        raise Malformed(f"{what} {text}: loopback only, while there is no TLS: use 127.0.0.1:{port}")
+    return host, port
+
+
+@told
+def snapshot(data: Path, file: Path) -> None:
+    sqlite.take_snapshot(data, file)
+    typer.echo(f"{file}: {file.stat().st_size} bytes, checked")
+
+
+@told
+def restore(data: Path, file: Path) -> None:
+    meta = sqlite.restore(data, file)
+    typer.echo(f"{data}: state version {meta['version']}; event numbers go on from {meta['pos'] + 1}. What was there "
+               f"is kept as {data}/replaced.{sqlite.NAME}")
--- a/threadhill/plans/configuration.py
+++ b/threadhill/plans/configuration.py
@@ -12,27 +12,14 @@
 from threadhill.plans.expr import EvalError, Ref, Scope, is_number, kind_of
 from threadhill.plans.faults import Fault, Invalid
 from threadhill.plans.model import KINDS, MODELS, NAME, RESERVED, RequestClass
+from threadhill.plans.resource import SERVERS, Resource
 from threadhill.plans.syntax import Attribute, Block
 
 MOST_RESOURCES = 200_000
-SERVERS = ("box", "parent", "library")
 TYPES = {"string": lambda v: isinstance(v, str), "number": is_number, "bool": lambda v: isinstance(v, bool),
          "list": lambda v: isinstance(v, list), "map": lambda v: isinstance(v, dict), "any": lambda v: True}
 
 
-@dataclass(frozen=True, slots=True)
-class Resource:
-    """One thing that there should be; `attrs` is plain JSON with every default filled in."""
-
-    kind: str
-    name: str
-    attrs: dict[str, Any]
-
-    @property
-    def id(self) -> str:
-        return f"{self.kind}.{self.name}"
-
-
 @dataclass(slots=True)
 class _Instance:
     """A block, or one of those that its `for_each` makes."""
--- a/threadhill/plans/forecast.py
+++ b/threadhill/plans/forecast.py
@@ -18,7 +18,7 @@
 from threadhill.decision.choice import Router
 from threadhill.decision.hashing import number_of
 from threadhill.plans import options
-from threadhill.plans.configuration import Resource
+from threadhill.plans.resource import Resource
 from threadhill.settings import read_settings
 
 SECOND = 1_000_000
--- a/threadhill/plans/options.py
+++ b/threadhill/plans/options.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from threadhill.plans.configuration import Resource
+from threadhill.plans.resource import Resource
 
 REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
 
--- a/threadhill/plans/planner.py
+++ b/threadhill/plans/planner.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from threadhill.plans import rules
-from threadhill.plans.configuration import Resource
+from threadhill.plans.resource import Resource
 from threadhill.plans.rules import Fleet, Phase, Record
 
 KINDS = ("settings", "hub", "node", "library", "parent", "box", "proxy", "tenant")  # in which they build up
--- a/threadhill/plans/rules.py
+++ b/threadhill/plans/rules.py
@@ -13,7 +13,8 @@
 from enum import Enum
 from typing import Any
 
-SERVERS = ("box", "parent", "library")
+from threadhill.plans.resource import SERVERS
+
 COLD_SHARE = 1 / 3  # part of a node's boxes that may be cold at once, whatever its link could carry
 PARENTS_SHARE = 1 / 3  # the same of all upper caches: what is cold among them is asked of the library
 
--- a/threadhill/plans/saved.py
+++ b/threadhill/plans/saved.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-from threadhill.plans.configuration import Resource
 from threadhill.plans.planner import Plan, Step, digest
+from threadhill.plans.resource import Resource
 
 FORM = 1
 MARKS = {"add": "+", "return": "+", "remove": "-", "unset": "-", "drain": "-", "update": "~"}
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -64,12 +64,13 @@
                                (signal.SIGUSR1, self.report), (signal.SIGHUP, self.reload)):
             self.loop.add_signal_handler(signum, handle)
         self.engine.start(self.caches)
+        if self.operator is not None:  # before what the journal tells, which may name others
+            self.engine.tenants.replace(list(self.operator.tenants))
         self.journal.catch_up(*self.config.known)
         self.journal.follow(self.config.journal)
         host, port = self.config.listen
         port = await self.front.door.listen(host, port)
         if self.operator is not None:
-            self.engine.tenants.replace(list(self.operator.tenants))
             if self.operator.dns is not None:
                 await self._serve_dns(self.operator.dns)
             if self.operator.admin is not None:
--- a/threadhill/standin/dev.py
+++ b/threadhill/standin/dev.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 from collections.abc import Mapping
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -33,26 +34,30 @@
 class Installation:
     """What runs, beside the control plane at `api`."""
 
-    def __init__(self, data: Path, api: str, token: str) -> None:
-        self.data, self.api, self.token = data, api, token
+    def __init__(self, data: Path, api: str, token: str, operator: str = "") -> None:
+        self.data, self.api, self.token, self.operator = data, api, token, operator
         self.fleet = Fleet()
         self.proxies: dict[str, tuple[asyncio.subprocess.Process, str]] = {}  # with the configuration that it has
         self._asked = client.Caller(api, token)
+        self._looking = asyncio.Lock()
         self._wanted: tuple[int, dict[str, dict[str, Any]]] = (0, {})
 
     async def follow(self) -> None:
         """Make what runs what the state says, for ever."""
         while True:
-            try:
-                state = await asyncio.to_thread(self._asked, "GET", "/v1/state")
-                if state["version"] != self._wanted[0]:
-                    version = await asyncio.to_thread(self._asked, "GET", f"/v1/versions/{state['version']}")
-                    self._wanted = state["version"], version["wanted"]
-                await self.make({f"{r['kind']}.{r['name']}": r["attrs"] for r in state["records"]})
-            except client.Failed:
-                pass  # it is being restarted
+            with suppress(client.Failed):  # it is being restarted
+                await self.look()
             await asyncio.sleep(LOOK)
 
+    async def look(self) -> None:
+        """Take up what the control plane has now; when this returns, what its newest version wants is running."""
+        async with self._looking:
+            state = await asyncio.to_thread(self._asked, "GET", "/v1/state")
+            if state["version"] != self._wanted[0]:
+                version = await asyncio.to_thread(self._asked, "GET", f"/v1/versions/{state['version']}")
+                self._wanted = state["version"], version["wanted"]
+            await self.make({f"{r['kind']}.{r['name']}": r["attrs"] for r in state["records"]})
+
     async def make(self, recorded: Mapping[str, Mapping[str, Any]]) -> None:
         """Servers run before they are listed, so what is wanted runs too; those that are not recorded any more end."""
         wanted = {**self._wanted[1], **recorded}
@@ -89,7 +94,7 @@
             if process is not None and process.returncode is None:
                 await self._end(name)
             started = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "threadhill", "serve",
+                sys.executable, "-m", "threadhill", "serve", *(["--operator", self.operator] if self.operator else []),
                 env=os.environ | {"LB_CONFIG": str(file)}, stderr=asyncio.subprocess.DEVNULL, start_new_session=True)
             self.proxies[name] = started, report
 
