--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -305,6 +305,41 @@
     assert "box.costa-3" not in plane.ledger.fleet.records
 
 
+def test_a_box_that_is_out_of_reach_counts_for_nothing_when_others_are_drained(tmp_path: Path) -> None:
+    plane = Plane(tmp_path)
+    plane.apply(boxes=4)
+    plane.report()
+    plane.down = {"p-1": ["costa-0"], "p-2": ["costa-0"]}
+    plane.report()
+    plane.now += 2 * SECOND
+    plane.report()
+    gone = Observed(frozenset(plane.ledger.observed(plane.now)["gone"]))
+    assert gone.gone == {"box.costa-0"}
+    one, records = read(BASE, boxes=1), list(plane.ledger.fleet.records.values())  # the one is out of reach
+    assert not planner.plan(one, records).blocked
+    assert "drain box.costa-3" in planner.plan(one, records, gone).blocked
+
+
+def test_no_step_of_a_place_overtakes_another_at_run_time(tmp_path: Path) -> None:
+    """Guards against a drain that uses up what an earlier one needs, which has to wait for something elsewhere."""
+    plane = Plane(tmp_path)
+    plane.apply(BASE.replace("fills_from = values(parent.upper)", 'fills_from = [parent.upper["a"]]'), boxes=1)
+    start, end = BASE.index('parent "upper"'), BASE.index('proxy "p"')
+    after = BASE[:start] + """
+parent "fresh" {
+  hub     = hub.sierra
+  address = "127.0.0.1:19001"
+}
+box "nova" {
+  node    = node.costa-1
+  address = "127.0.0.1:19020"
+}
+""" + BASE[end:]
+    assert plane.apply(after)["state"] == "done"
+    assert {r.id for r in plane.ledger.fleet.records.values() if r.kind in ("box", "parent")} == {
+        "box.nova", "parent.fresh"}
+
+
 def test_a_box_comes_at_the_address_of_one_just_removed(tmp_path: Path) -> None:
     plane = Plane(tmp_path)
     plane.apply(boxes=4)
@@ -373,6 +408,8 @@
     plane = Plane(tmp_path)
     plane.apply()
     plane.store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    good = ({r.id: r for r in plane.store.records()}, plane.store.events(0, 999), plane.store.meta(),
+            plane.store.version(1))
     plane.store.close()
     path, whole = tmp_path / sqlite.NAME, (tmp_path / sqlite.NAME).read_bytes()
     sqlite.take_snapshot(tmp_path, tmp_path / "good")
@@ -382,6 +419,21 @@
         with pytest.raises(Damaged, match="state restore"):
             Sqlite(tmp_path)
         assert path.read_bytes() == broken  # nothing was written over it
+    told = harmless = 0
+    for at in range(70, len(whole), 239):  # one byte changed: it is told, or it held nothing
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x55]) + whole[at + 1:])
+        for extra in ("-wal", "-shm"):
+            path.with_name(path.name + extra).unlink(missing_ok=True)
+        try:
+            store = Sqlite(tmp_path)
+        except Damaged:
+            told += 1
+            continue
+        found = {r.id: r for r in store.records()}, store.events(0, 999), store.meta(), store.version(1)
+        store.close()
+        assert found == good
+        harmless += 1
+    assert told > 20 and harmless
     path.unlink()
     with pytest.raises(Damaged, match="missing"):
         Sqlite(tmp_path)
@@ -405,6 +457,7 @@
     db = sqlite3.connect(tmp_path / sqlite.NAME)
     db.execute("DROP INDEX open_applies")
     db.execute("UPDATE meta SET value = 1 WHERE name = 'schema'")
+    sqlite._sign(db)
     db.commit()
     plane.open()
     assert plane.store.meta()["schema"] == sqlite.SCHEMA and not plane.plan()["steps"]
@@ -548,6 +601,13 @@
             assert (await alone("fmt", "--check", str(file)))[0] == 0
             code, told, _ = await run("plan", str(file), "--out", str(out), "--json", "--no-forecast")
             assert code == 2 and json.loads(told)["digest"] == json.loads(out.read_text())["digest"]
+            mix = tmp_path / "mix"
+            mix.write_text('rate = 20\nclasses = { nobody = 1 }\n')
+            code, _, err = await run("plan", str(file), "--mix", str(mix))
+            assert code == 1 and "classes: must be a map of some of clip-parts, art-pages" in err
+            mix.write_text('rate = 20\nclasses = { clip-parts = 1 }\n')
+            code, told, _ = await run("plan", str(file), "--mix", str(mix))
+            assert code == 2 and "clip-parts" in told and "art-pages" not in told and "0.0 -> 100.0" in told
             assert (await run("apply", str(out), "--why", "first"))[0] == 0
             assert (await run("plan", str(file)))[0] == 0
             code, _, err = await run("apply", str(out))
--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -120,10 +120,13 @@
          out: Annotated[Path | None, typer.Option("--out", help="save the plan, for `apply`")] = None,
          why: Annotated[str, typer.Option("--why", help="kept with the version")] = "",
          forecast: Annotated[bool, typer.Option(help="work out each box's share of requests")] = True,
-         rate: Annotated[float, typer.Option("--rate", help="requests a second at each node, for the forecast")] = 50.0,
+         rate: Annotated[float | None, typer.Option("--rate", help="requests a second at each node")] = None,
+         mix: Annotated[Path | None, typer.Option("--mix", help="what is asked for, as NAME = VALUE lines")] = None,
          json: Json = False) -> None:
     """Print what applying the files would change. Exit 0: nothing; 2: something; 1: it can't be done or planned.
 
+    The mix of the forecast: rate, classes (a map of name to part), objects, zipf, parts, seconds.
+
     Examples: threadhill plan deploy/example -var boxes=7 --out release.plan
               threadhill plan --to 3
               threadhill plan tenants.toml --admin 127.0.0.1:5380   (a proxy's own tenants; always exit 0)
@@ -133,7 +136,7 @@
         return
     from threadhill.control import commands
 
-    commands.plan(control, token, path, var, var_file, to, out, why, forecast, rate, json)
+    commands.plan(control, token, path, var, var_file, to, out, why, forecast, rate, mix, json)
 
 
 @app.command()
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -38,6 +38,7 @@
     limits: Limits
     clients: int  # connections that clients may hold
     outbound: int  # bytes that may wait for all of them together
+    line: int = 1 << 20  # bytes that one event of the journal may have
     report: str | None = None  # which configuration this is, where the journal service is to be told
 
 
@@ -68,6 +69,7 @@
         ),
         clients=clients,
         outbound=int(spare * OUTBOUND_SHARE),
+        line=min(16 << 20, max(1 << 20, spare // 16)),
         report=text(raw["report"], "report") if raw.get("report") else None,
     )
 
--- a/threadhill/control/client.py
+++ b/threadhill/control/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import http.client
 import time
 from collections.abc import Callable, Mapping
@@ -81,6 +82,8 @@
 
 def read_configuration(path: Path, given: Mapping[str, Any]) -> dict[str, Resource]:
     """The resources of a file or folder. Raises Invalid."""
+    gc.freeze()  # a large configuration makes many objects that all stay: looking through them again and again costs
+    gc.set_threshold(200_000, 50, 50)  # a fifth of a plan's time
     return configuration.evaluate(syntax.read(path), given)
 
 
--- a/threadhill/control/commands.py
+++ b/threadhill/control/commands.py
@@ -18,9 +18,10 @@
 from threadhill.cli_codes import CHANGES, CONFLICT, DONE, ERROR, HALTED
 from threadhill.control import client
 from threadhill.control.store import Damaged, Unwritable
-from threadhill.plans import configuration, forecast, saved, syntax
+from threadhill.plans import forecast, saved, syntax
 from threadhill.plans.faults import Fault, Invalid
 from threadhill.plans.fmt import canonical
+from threadhill.plans.resource import Resource
 from threadhill.settings import Malformed
 
 CONFLICTS = ("conflict", "unfinished", "leased", "lease-lost", "bad-plan")
@@ -70,7 +71,7 @@
     typer.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
 
 
-def _wanted(path: Path, var: list[str], var_file: list[Path]) -> dict[str, configuration.Resource]:
+def _wanted(path: Path, var: list[str], var_file: list[Path]) -> dict[str, Resource]:
     return client.read_configuration(path, client.read_variables(var_file, var))
 
 
@@ -109,12 +110,13 @@
 
 @told
 def plan(control: str, token: str, path: Path | None, var: list[str], var_file: list[Path], to: int | None,
-         out: Path | None, why: str, with_forecast: bool, rate: float, json: bool) -> None:
+         out: Path | None, why: str, with_forecast: bool, rate: float | None, mix_file: Path | None,
+         json: bool) -> None:
     if (path is None) == (to is None):
         raise Malformed("name either files or --to VERSION")
     ask = client.Caller(control, token)
     wanted = client.wanted_of(ask, to) if path is None else _wanted(path, var, var_file)
-    mix = _mix(wanted, rate)
+    mix = _mix(wanted, rate, mix_file)
     document = client.make_plan(ask, wanted, why or (f"return to version {to}" if to else ""), with_forecast, mix)
     unfinished = document.pop("unfinished", None)
     if out is not None and not document["blocked"]:
@@ -132,12 +134,18 @@
     raise typer.Exit(CHANGES if document["steps"] else DONE)
 
 
-def _mix(wanted: Mapping[str, configuration.Resource], rate: float) -> forecast.Mix | None:
+def _mix(wanted: Mapping[str, Resource], rate: float | None, file: Path | None) -> forecast.Mix | None:
+    """The mix of the file, or one of all reads in equal parts."""
     settings = wanted.get("settings.settings")
     if settings is None:
         return None
-    mix = forecast.default_mix(settings.attrs)
-    return forecast.Mix(rate, mix.classes)
+    given = {name: value for name, value in (("rate", rate),) if value is not None}
+    if file is not None:
+        given = client.read_variables([file], []) | given
+    try:
+        return forecast.mix_of(given, settings.attrs)
+    except ValueError as error:
+        raise Invalid([Fault(str(file or "--rate"), 0, "mix", str(error))]) from None
 
 
 def _unfinished(found: Mapping[str, Any]) -> str:
--- a/threadhill/control/ledger.py
+++ b/threadhill/control/ledger.py
@@ -19,7 +19,7 @@
 from threadhill.control.membership import Members
 from threadhill.control.store import Apply, Change, StepState, Store, Version
 from threadhill.plans import options, planner, rules, saved
-from threadhill.plans.planner import Step
+from threadhill.plans.planner import Observed, Step
 from threadhill.plans.resource import Resource
 from threadhill.plans.rules import SERVERS, Fleet, Phase, Record
 
@@ -120,7 +120,8 @@
                           f"state is at version {self.meta['version']} (change {self.meta['serial']}): plan again",
                           version=self.meta["version"])
         wanted = saved.resources_of(plan["wanted"])
-        again, steps = planner.plan(wanted, self.fleet.records.values()), saved.steps_of(plan)
+        observed = Observed(progress.gone_ids(self.fleet, self.members, now))
+        again, steps = planner.plan(wanted, self.fleet.records.values(), observed), saved.steps_of(plan)
         if _effects(again.steps) != _effects(steps) or again.blocked:
             raise Refused("bad-plan", "the plan's steps are not what its files lead to on this state, or some of them "
                           "are blocked: plan again")
@@ -220,11 +221,12 @@
 
     # --- what proxies are told
 
-    def whole(self) -> dict[str, Any]:
-        """All servers and tenants as one event with the last number: where a proxy begins."""
+    def whole(self, node: str = "") -> dict[str, Any]:
+        """All servers and tenants as one event with the last number: where a proxy begins. With a node, of the boxes
+        only that node's: no proxy sends to others."""
         members, tenants = [], []
         for _, r in sorted(self.fleet.records.items()):
-            if r.kind in SERVERS:
+            if r.kind in SERVERS and (not node or r.kind != "box" or r.attrs["node"] == node):
                 phase = SERVING if r.ready else DRAINING
                 members.append(options.member(r.kind, r.name, r.attrs, phase, r.since))
             elif r.kind == "tenant":
@@ -264,7 +266,7 @@
         if record is None or "settings.settings" not in self.fleet.records:
             return None
         resource = Resource("proxy", name, record.attrs)
-        event = self.whole()
+        event = self.whole(record.attrs["node"])
         return {"name": name, "listen": record.attrs["listen"], "report": record.attrs["config"],
                 "limits": {"cores": record.attrs["cores"], "memory_mb": record.attrs["memory_mb"],
                            "sockets": record.attrs["sockets"]},
@@ -275,7 +277,6 @@
 
     def observed(self, now: int) -> dict[str, Any]:
         """What the proxies report, and what of it is not as recorded."""
-        gone = self.members.gone(now)
         odd = {}
         shown = []
         for record in sorted((r for r in self.fleet.records.values() if r.kind == "proxy"), key=lambda r: r.name):
@@ -292,7 +293,7 @@
                           "seen_ms": now - member.seen if member else None,
                           "config": member.config if member else None, "wanted_config": record.attrs["config"]})
         return {"pos": self.pos, "proxies": shown, "odd": odd,
-                "gone": sorted(r.id for r in self.fleet.records.values() if r.kind in SERVERS and r.name in gone)}
+                "gone": sorted(progress.gone_ids(self.fleet, self.members, now))}
 
     def state(self) -> dict[str, Any]:
         """The recorded state, with the open apply if there is one."""
--- a/threadhill/control/progress.py
+++ b/threadhill/control/progress.py
@@ -39,6 +39,13 @@
     return record.attrs if record is not None else None
 
 
+def gone_ids(fleet: Fleet, members: Members, now: int) -> frozenset[str]:
+    """Ids of recorded servers that the proxies report out of reach."""
+    names = members.gone(now)
+    found = (f"{kind}.{name}" for name in names for kind in SERVERS)
+    return frozenset(id for id in found if id in fleet.records)
+
+
 def confirmed(fleet: Fleet, record: Record, members: Members, now: int) -> tuple[Phase | None, str]:
     """The phase that this record's time and the proxies' reports confirm, or None and what is waited for; with a phase
     the text says who was not waited for."""
@@ -97,7 +104,7 @@
     guard holds on the state as it then is."""
     moves = Moves()
     done = {id for id, state in states.items() if state.state == "done"}
-    gone = members.gone(now)
+    gone = gone_ids(fleet, members, now)
     trial: Fleet | None = None
     held: dict[str, str] = {}  # place -> a step that has not begun, which no later one of it may overtake
     for step in steps:
@@ -111,7 +118,7 @@
                 moves.done.append(replace(state, state="done", note=text))
             else:
                 moves.waits[step.id] = text
-                if step.action == "add" and step.name in gone:
+                if step.action == "add" and step.resource in gone:
                     moves.halted = f"{step.resource} was listed and no live proxy reaches it"
             continue
         missing = next((need for need in step.needs if need not in done), None)
@@ -122,7 +129,7 @@
             _hold(held, step)
             continue
         if trial is None:
-            trial = Fleet.of(fleet.records.values(), fleet.places)
+            trial = Fleet.of(fleet.records.values(), fleet.places, gone)
         reason = planner.guard(trial, step)
         if reason is not None:
             moves.waits[step.id] = reason
--- a/threadhill/control/server.py
+++ b/threadhill/control/server.py
@@ -67,6 +67,7 @@
         self.done = asyncio.Event()
         self._written: dict[str, tuple[int, int]] = {}
         self._dirty = False
+        self._live: set[str] = set()
 
     def now(self) -> int:
         return self.turns.clock.now() // 1_000
@@ -108,6 +109,10 @@
             self.log.error("not written", error=str(error))
         names = {r.name for r in self.ledger.fleet.records.values() if r.kind == "proxy"}
         self.ledger.members.forget(names, self.now())
+        live = {name for name in self.ledger.members.by_name if self.ledger.members.live(name, self.now())}
+        for name in sorted(self._live - live):
+            self.log.warning("proxy silent", proxy=name, waited_for_ms=self.ledger.members.silent)
+        self._live = live
         if {n: r.pos for n, r in self._proxies().items()} != {n: at for n, (at, _) in self._written.items()}:
             self._soon()
         self.turns.deadlines.add(self.turns.clock.now() + TICK, self._tick)
--- a/threadhill/control/sqlite.py
+++ b/threadhill/control/sqlite.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import fcntl
+import itertools
 import os
 import sqlite3
+import zlib
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
@@ -12,7 +14,6 @@
 import orjson
 
 from threadhill.control.store import Apply, Change, Damaged, StepState, Unwritable, Version
-from threadhill.plans.planner import digest
 from threadhill.plans.rules import Phase, Record
 
 SCHEMA = 2
@@ -22,8 +23,9 @@
 TABLES = """
 CREATE TABLE meta (name TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID;
 CREATE TABLE records (id TEXT PRIMARY KEY, kind TEXT NOT NULL, name TEXT NOT NULL, attrs BLOB NOT NULL,
-    phase TEXT NOT NULL, since INTEGER NOT NULL, pos INTEGER NOT NULL, at INTEGER NOT NULL) WITHOUT ROWID;
-CREATE TABLE events (pos INTEGER PRIMARY KEY, line BLOB NOT NULL);
+    phase TEXT NOT NULL, since INTEGER NOT NULL, pos INTEGER NOT NULL, at INTEGER NOT NULL,
+    sum INTEGER NOT NULL) WITHOUT ROWID;
+CREATE TABLE events (pos INTEGER PRIMARY KEY, line BLOB NOT NULL, sum INTEGER NOT NULL);
 CREATE TABLE versions (number INTEGER PRIMARY KEY, at INTEGER NOT NULL, who TEXT NOT NULL, why TEXT NOT NULL,
     base INTEGER NOT NULL, wanted BLOB NOT NULL, plan TEXT NOT NULL, state TEXT NOT NULL, digest TEXT NOT NULL);
 CREATE TABLE applies (number INTEGER PRIMARY KEY, version INTEGER NOT NULL, plan BLOB NOT NULL, state TEXT NOT NULL,
@@ -70,14 +72,16 @@
                 check(self.db, self.path)
             else:
                 self._create()
-        except sqlite3.DatabaseError as error:
+        except (sqlite3.DatabaseError, ValueError, TypeError) as error:
             raise Damaged(f"{self.path}: {error}: put a snapshot back with `threadhill state restore`") from None
         mark.touch()
         self._migrate()
 
     def _create(self) -> None:
         self.db.executescript("BEGIN;" + TABLES + OPEN + "COMMIT;")
-        self.db.executemany("INSERT INTO meta VALUES (?, ?)", [*STARTED.items(), ("schema", SCHEMA)])
+        with self._transaction():
+            self.db.executemany("INSERT INTO meta VALUES (?, ?)", [*STARTED.items(), ("schema", SCHEMA), ("sum", 0)])
+            _sign(self.db)
 
     def _migrate(self) -> None:
         """Bring an older store up to date, a schema at a time; the file as it was stays beside it."""
@@ -88,6 +92,7 @@
             with self._transaction():
                 MIGRATIONS[schema](self.db)
                 self.db.execute("UPDATE meta SET value = ? WHERE name = 'schema'", (schema + 1,))
+                _sign(self.db)
 
     @contextmanager
     def _transaction(self) -> Iterator[None]:
@@ -112,7 +117,13 @@
             yield Record(kind, name, orjson.loads(attrs), Phase(phase), since, pos, at)
 
     def events(self, after: int, limit: int) -> list[tuple[int, bytes]]:
-        return list(self.db.execute("SELECT pos, line FROM events WHERE pos > ? ORDER BY pos LIMIT ?", (after, limit)))
+        found = list(self.db.execute("SELECT pos, line, sum FROM events WHERE pos > ? ORDER BY pos LIMIT ?",
+                                     (after, limit)))
+        for pos, line, told in found:
+            if _sum(pos, line) != told:
+                raise Damaged(f"{self.path} is damaged (event {pos} was changed): put a snapshot back with "
+                              "`threadhill state restore`")
+        return [(pos, line) for pos, line, _ in found]
 
     def oldest_event(self) -> int:
         return self.db.execute("SELECT min(pos) FROM events").fetchone()[0] or 0
@@ -146,17 +157,17 @@
         with self._transaction():
             run, many = self.db.execute, self.db.executemany
             many("UPDATE meta SET value = ? WHERE name = ?", [(v, n) for n, v in change.meta.items()])
+            _sign(self.db)
             many("DELETE FROM records WHERE id = ?", [(id,) for id in change.dropped])
-            many("INSERT OR REPLACE INTO records VALUES (?, ?, ?, ?, ?, ?, ?, ?)",
-                 [(r.id, r.kind, r.name, orjson.dumps(r.attrs), r.phase.value, r.since, r.pos, r.at)
-                  for r in change.records])
-            many("INSERT INTO events VALUES (?, ?)", change.events)
+            many("INSERT OR REPLACE INTO records VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)", map(_row, change.records))
+            many("INSERT INTO events VALUES (?, ?, ?)", [(pos, line, _sum(pos, line)) for pos, line in change.events])
             if change.forget_events:
                 run("DELETE FROM events WHERE pos <= ?", (change.forget_events,))
             if change.version is not None:
                 v = change.version
                 run("INSERT OR REPLACE INTO versions VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)",
-                    (v.number, v.at, v.who, v.why, v.base, orjson.dumps(v.wanted), v.plan, v.state, digest(v.wanted)))
+                    (*(row := (v.number, v.at, v.who, v.why, v.base, orjson.dumps(v.wanted), v.plan, v.state)),
+                     str(_sum(*row))))
             if change.apply is not None:
                 a = change.apply
                 # The plan is written once: it is large, and the lease is renewed often.
@@ -175,6 +186,26 @@
         os.close(self._lock)
 
 
+def _sum(*values: object) -> int:
+    """CRC-32 of a row: the database finds a broken page by its form, but not a changed byte of what it holds."""
+    return zlib.crc32(b"\0".join(v if isinstance(v, bytes) else str(v).encode() for v in values))
+
+
+def _meta_sum(meta: dict[str, int]) -> int:
+    return _sum(*(f"{name}={value}" for name, value in sorted(meta.items()) if name != "sum"))
+
+
+def _sign(db: sqlite3.Connection) -> None:
+    """Set the sum over the counters anew."""
+    meta = dict(db.execute("SELECT name, value FROM meta"))
+    db.execute("UPDATE meta SET value = ? WHERE name = 'sum'", (_meta_sum(meta),))
+
+
+def _row(r: Record) -> tuple:
+    row = (r.id, r.kind, r.name, orjson.dumps(r.attrs), r.phase.value, r.since, r.pos, r.at)
+    return *row, _sum(*row)
+
+
 def _lock(folder: Path, create: bool) -> int:
     """Hold the folder: two that write the same store would each publish numbers of its own."""
     try:
@@ -202,14 +233,18 @@
     if meta.get("schema", 0) > SCHEMA:
         raise Damaged(f"{path} has schema {meta['schema']} and this program knows {SCHEMA}: start the program that "
                       "wrote it, or a newer one")
-    if not set(STARTED) | {"schema"} <= set(meta):
+    if not set(STARTED) | {"schema", "sum"} <= set(meta):
         raise Damaged(f"{path} was made only in part; {advice}")
     found = db.execute("PRAGMA quick_check(1)").fetchone()[0]
     if found != "ok":
         raise Damaged(f"{path} is damaged ({found}); {advice}")
+    newest = "SELECT * FROM events ORDER BY pos DESC LIMIT 2000"  # others are checked when they are read
+    for *row, told in itertools.chain(db.execute("SELECT * FROM records"), db.execute(newest)):
+        if _sum(*row) != told:
+            raise Damaged(f"{path} is damaged (the row of {row[0]} was changed); {advice}")
     last = db.execute("SELECT max(pos) FROM events").fetchone()[0] or 0
-    row = db.execute("SELECT wanted, digest FROM versions ORDER BY number DESC LIMIT 1").fetchone()
-    if last > meta["pos"] or row is not None and digest(orjson.loads(row[0])) != row[1]:
+    row = db.execute("SELECT * FROM versions ORDER BY number DESC LIMIT 1").fetchone()
+    if last > meta["pos"] or meta["sum"] != _meta_sum(meta) or row is not None and str(_sum(*row[:-1])) != row[-1]:
         raise Damaged(f"{path} does not fit together; {advice}")
 
 
@@ -244,7 +279,7 @@
     try:
         check(db, source)
         snapshot(db, path)
-    except sqlite3.DatabaseError as error:
+    except (sqlite3.DatabaseError, ValueError, TypeError) as error:
         raise Damaged(f"{source}: {error}") from None
     finally:
         db.close()
@@ -263,7 +298,7 @@
         copy = sqlite3.connect(path)
         try:
             check(copy, path)
-        except sqlite3.DatabaseError as error:
+        except (sqlite3.DatabaseError, ValueError, TypeError) as error:
             raise Damaged(f"{path}: {error}") from None
         old, target = 0, folder / NAME
         if target.exists():
@@ -280,6 +315,7 @@
         with db:
             # Proxies have events of numbers that the snapshot does not know: the next one stands clear of them.
             db.execute("UPDATE meta SET value = max(value, ?) + 1 WHERE name = 'pos'", (old,))
+            _sign(db)
             meta = dict(db.execute("SELECT name, value FROM meta"))
         db.close()
         (folder / MARK).touch()
--- a/threadhill/core/tenants.py
+++ b/threadhill/core/tenants.py
@@ -46,9 +46,11 @@
         self.version = 0
         self.by_name: dict[str, Tenant] = {}
         self._buckets: dict[str, Bucket] = {}
+        self._zones: frozenset[str] = frozenset()
 
-    def zones(self) -> set[str]:
-        return {zone for tenant in self.by_name.values() for zone in tenant.zones}
+    def zones(self) -> frozenset[str]:
+        """All tenants' zones; made anew with each version only, since every DNS query asks."""
+        return self._zones
 
     def replace(self, tenants: list[Tenant], on: int | None = None) -> bool:
         """Make these the tenants, if the state is still at version `on`; tells whether anything changed."""
@@ -60,6 +62,7 @@
         kept = {n for n, t in new.items() if n in self.by_name and self.by_name[n].quota == t.quota}
         self._buckets = {name: bucket for name, bucket in self._buckets.items() if name in kept}
         self.by_name, self.version = new, self.version + 1
+        self._zones = frozenset(zone for tenant in tenants for zone in tenant.zones)
         return True
 
     def change(self, tenants: list[Tenant], gone: set[str], whole: bool) -> None:
--- a/threadhill/dns/names.py
+++ b/threadhill/dns/names.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass
 from enum import Enum
 
@@ -36,7 +37,7 @@
     box: str = ""
 
 
-def zone_of(labels: tuple[str, ...], zones: set[str]) -> str | None:
+def zone_of(labels: tuple[str, ...], zones: Set[str]) -> str | None:
     """The longest of the zones that the name is in."""
     for i in range(len(labels)):
         zone = ".".join(labels[i:])
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -18,7 +18,7 @@
 from threadhill.net.stream import Stream
 from threadhill.settings import Malformed, address, mapping, must_whole, number, sequence, text, whole
 
-LINE = 1 << 20  # bytes of a line at most: a list of thousands of servers
+LINE = 1 << 20  # bytes of a line at most, unless the machine has room for more: a list of thousands of servers
 SILENCE = 1_700_000  # microseconds without a line, which come every second, after which it is dialled anew
 CONNECT = 0.5  # seconds that a connection may take to come up
 AGAIN = 50_000  # microseconds between tries while none comes up, doubled for each that tells nothing new
@@ -106,8 +106,9 @@
     """What the journal has told so far, and who is told of it."""
 
     def __init__(self, engine: Engine, caches: CacheServers, log: Callable[[str], None], name: str = "",
-                 report: str | None = None) -> None:
+                 report: str | None = None, line: int = LINE) -> None:
         self.engine, self.caches, self.log = engine, caches, log
+        self.line = line
         self.name, self.report = name, report  # None: the service is told nothing, as the platform has it
         self.pos = 0
         self.heard = 0
@@ -259,7 +260,7 @@
     """One connection to the journal service."""
 
     def __init__(self, journal: Journal) -> None:
-        super().__init__(LINE, 64 << 10)
+        super().__init__(journal.line, 64 << 10)
         self.journal = journal
         self.since = 0
 
--- a/threadhill/plans/configuration.py
+++ b/threadhill/plans/configuration.py
@@ -38,6 +38,7 @@
     local_sources: dict[str, tuple[Attribute, str]] = field(default_factory=dict)
     locals: dict[str, Any] = field(default_factory=dict)
     under_way: list[str] = field(default_factory=list)
+    addresses: dict[str, str] = field(default_factory=dict)  # each with the resource that has it
     named: dict[str, dict[str, Any]] = field(default_factory=lambda: {kind: {} for kind in KINDS})
 
     def scope(self, each: dict[str, Any] | None = None, resources: bool = True) -> Scope:
@@ -263,6 +264,12 @@
             continue
         if value is not None:  # null is as good as a key that is not there
             values[name] = value
+    for word in ("address", "listen"):
+        if isinstance(values.get(word), str):
+            other = reading.addresses.setdefault(values[word], id)
+            if other != id:
+                line = block.attributes[word].line
+                reading.fault(block, line, id, f"{word} {values[word]} is {other}'s already")
     classes = _classes(reading, block, scope) if block.kind == "settings" else None
     for inner in block.blocks if block.kind != "settings" else []:
         reading.fault(block, inner.line, id, f"{inner.kind}: no block may stand in a {block.kind}")
@@ -278,7 +285,7 @@
              scope: Scope | None) -> dict[str, Any] | None:
     """The values through their model; None, with the faults told, where they can't be used."""
     try:
-        return model(**values).model_dump()
+        return dict(vars(model(**values)))  # flat: no model holds another
     except ValidationError as error:
         for fault in error.errors():
             place = ".".join(str(part) for part in fault["loc"])
@@ -316,22 +323,16 @@
 
 def _check(reading: _Reading, resources: dict[str, Resource],
            where: dict[str, tuple[Block, dict[str, int]]]) -> None:
-    """What concerns several resources: references, addresses, numbers on the wire, loops of sources."""
+    """What concerns several resources: numbers on the wire, zones, what must be there, loops of sources."""
 
     def fault(id: str, word: str, text: str) -> None:
         block, lines = where[id]
         reading.fault(block, lines.get(word, block.line), id, text)
 
-    addresses: dict[str, str] = {}
     numbers: dict[int, str] = {}
     zones: dict[str, str] = {}
     for id, resource in resources.items():
         attrs = resource.attrs
-        for word in ("address", "listen"):
-            if word in attrs:
-                other = addresses.setdefault(attrs[word], id)
-                if other != id:
-                    fault(id, word, f"{word} {attrs[word]} is {other}'s already")
         if resource.kind in SERVERS:
             # What stands for a server in the module: two names with one number would be taken for one server.
             other = numbers.setdefault(number_of(resource.name) & 0xFFFFFFFF, id)
--- a/threadhill/plans/forecast.py
+++ b/threadhill/plans/forecast.py
@@ -60,6 +60,23 @@
     return Mix(classes={name: 1.0 for name, c in settings["classes"].items() if not c["write"]})
 
 
+def mix_of(given: Mapping[str, Any], settings: Mapping[str, Any]) -> Mix:
+    """A mix from its figures by name; those that are missing are the default's. ValueError where one can't be used."""
+    most = {"rate": 1e6, "objects": 1e6, "zipf": 10, "parts": 1e6, "seconds": 3_600}
+    classes = given.get("classes", default_mix(settings).classes)
+    for name in given:
+        if name != "classes" and name not in most:
+            raise ValueError(f"{name}: no such figure; there are classes, {', '.join(most)}")
+    for name, value in [*given.items(), *(classes.items() if isinstance(classes, dict) else ())]:
+        if name != "classes" and (type(value) not in (int, float) or not 0 < value <= most.get(name, 1e6)):
+            raise ValueError(f"{name}: must be a number over 0, {most.get(name, 1e6):g} at most")
+    if not isinstance(classes, dict) or not classes or set(classes) - set(settings["classes"]):
+        raise ValueError(f"classes: must be a map of some of {', '.join(settings['classes'])} to their parts")
+    figures = {name: int(value) if name in ("objects", "parts") else value for name, value in given.items()
+               if name != "classes"}
+    return Mix(classes=classes, **figures)
+
+
 def shares(resources: Mapping[str, Resource], node: str, mix: Mix, seed: int = 1) -> dict[str, dict[str, float]]:
     """For each class its shares by box, in parts of 1, of a node (`node.NAME`) where all servers are warm."""
     crew = sorted((r for r in resources.values() if r.kind == "proxy" and r.attrs["node"] == node),
--- a/threadhill/plans/planner.py
+++ b/threadhill/plans/planner.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import hashlib
-import json
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
+import orjson
+
 from threadhill.plans import rules
 from threadhill.plans.resource import Resource
 from threadhill.plans.rules import Fleet, Phase, Record
@@ -21,6 +22,15 @@
 MOVES = {"box": ("node", "address"), "parent": ("hub", "address"), "library": ("hub", "address")}
 OWN = ("settle_s", "silent_s")  # settings that concern the control plane alone
 ACTIONS = ("set", "update", "add", "return", "drain", "remove", "unset")
+PRECONDITIONS = {
+    "add": "its name and address are free, its sources are ready and warm, and its place may have one more cold",
+    "return": "it drains, and its sources are ready", "update": "its sources are ready",
+    "drain": "enough of its place stay warm, and nobody ready fills from it", "remove": "it is drained",
+    "set": "what it stands on is there", "unset": "nothing stands on it"}
+EFFECTS = {
+    "add": "listed: it is sent requests within its cold start's limits", "return": "listed again, as it was",
+    "update": "listed with other figures", "drain": "gets nothing new", "remove": "forgotten; its address is free",
+    "set": "recorded", "unset": "forgotten"}
 CONFIRMED = {"add": "every live proxy has applied it and its warming time has passed",
              "return": "every live proxy has applied it", "update": "every live proxy has applied it",
              "drain": "every live proxy has applied it and what it had taken has had its time",
@@ -60,9 +70,18 @@
             return "every live proxy has applied it"
         return CONFIRMED[self.action]
 
+    @property
+    def effect(self) -> str:
+        if self.kind == "proxy":
+            return "its configuration file is written" if self.action == "set" else "its configuration file goes"
+        if self.kind == "tenant":
+            return "every proxy is told"
+        return EFFECTS[self.action]
+
     def document(self) -> dict[str, Any]:
         return {"id": self.id, "action": self.action, "kind": self.kind, "name": self.name, "before": self.before,
-                "after": self.after, "needs": list(self.needs), "wave": self.wave}
+                "after": self.after, "needs": list(self.needs), "wave": self.wave,
+                "precondition": PRECONDITIONS[self.action], "effect": self.effect, "confirmed_by": self.confirmed_by}
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +121,8 @@
 def record_of(resource: Resource, warm: bool = False) -> Record:
     """The record that making this resource leads to."""
     if resource.kind in rules.SERVERS:
-        phase = Phase.WARM if resource.attrs["warm"] or warm else Phase.COLD
+        # No rule limits what a library is sent when it is new.
+        phase = Phase.WARM if resource.attrs["warm"] or warm or resource.kind == "library" else Phase.COLD
     else:
         phase = Phase.TELLING if resource.kind == "proxy" else Phase.SET
     return Record(resource.kind, resource.name, resource.attrs, phase)
@@ -128,7 +148,7 @@
 
 def digest(value: Any) -> str:
     """SHA-256 of the value as JSON in one form."""
-    return hashlib.sha256(json.dumps(value, sort_keys=True, separators=(",", ":")).encode()).hexdigest()
+    return hashlib.sha256(orjson.dumps(value, option=orjson.OPT_SORT_KEYS)).hexdigest()
 
 
 def plan(wanted: Mapping[str, Resource], recorded: Iterable[Record], observed: Observed = NOTHING) -> Plan:
@@ -136,7 +156,7 @@
     wanted = with_configurations(wanted)
     records = {record.id: record for record in recorded}
     steps = _differences(wanted, records)
-    ordered, blocked = _order(steps, Fleet.of(records.values(), rules.places(wanted.values())), observed)
+    ordered, blocked = _order(steps, Fleet.of(records.values(), rules.places(wanted.values()), observed.gone))
     pending = [id for id, r in sorted(records.items()) if r.phase in (Phase.COLD, Phase.DRAINING, Phase.TELLING)]
     return Plan(ordered, blocked, drift(records, observed), pending)
 
@@ -218,11 +238,12 @@
             needs.add(f"drain {s.resource}")
         if s.action == "unset":
             needs |= set(on.get(s.resource, ()))
-        made.append(replace(s, needs=tuple(sorted(n for n in needs if n in by_id and n != s.id))))
+        known = tuple(sorted(n for n in needs if n in by_id and n != s.id))
+        made.append(Step(s.id, s.action, s.kind, s.name, s.before, s.after, known))
     return made
 
 
-def _order(steps: list[Step], fleet: Fleet, observed: Observed) -> tuple[list[Step], dict[str, str]]:
+def _order(steps: list[Step], fleet: Fleet) -> tuple[list[Step], dict[str, str]]:
     """Waves: what may begin together, each time all before it is confirmed. What never may is blocked."""
     height = {kind: i for i, kind in enumerate(KINDS)}
     ranks = _ranks(steps)
@@ -243,7 +264,8 @@
                 begin(fleet, step)
                 if step.id in ranks:
                     drains[step.place, ranks[step.id]] -= 1
-                begun.append(replace(step, wave=wave))
+                begun.append(Step(step.id, step.action, step.kind, step.name, step.before, step.after, step.needs,
+                                  wave))
             else:
                 why[step.id] = reason
                 waiting.append(step)
@@ -297,16 +319,14 @@
         fleet.drop(step.resource)
         return None
     if step.action == "drain":
-        record = replace(old, phase=Phase.DRAINING, pos=pos, at=now)
+        record = old.moved(Phase.DRAINING, old.since, pos, now)
     else:
         record = record_of(Resource(step.kind, step.name, step.after))
-        if step.action == "add":
-            record = replace(record, since=now if record.phase is Phase.COLD else 0)
-        elif step.action in ("return", "update"):
+        phase, since = record.phase, now if record.phase is Phase.COLD else 0
+        if step.action in ("return", "update"):
             # It never stopped: what it was when it was first listed goes on. Whether it is warm, time tells.
-            phase = Phase.COLD if old.since and old.phase is not Phase.WARM else Phase.WARM
-            record = replace(record, phase=phase, since=old.since)
-        record = replace(record, pos=pos, at=now)
+            phase, since = Phase.COLD if old.since and old.phase is not Phase.WARM else Phase.WARM, old.since
+        record = record.moved(phase, since, pos, now)
     fleet.put(record)
     return record
 
@@ -316,5 +336,5 @@
     after = {Phase.COLD: Phase.WARM, Phase.DRAINING: Phase.DRAINED, Phase.TELLING: Phase.SET}
     moved = [record for record in fleet.records.values() if record.phase in after]
     for record in moved:
-        fleet.put(replace(record, phase=after[record.phase]))
+        fleet.move(record, record.moved(after[record.phase], record.since, record.pos, record.at))
     return bool(moved)
--- a/threadhill/plans/rules.py
+++ b/threadhill/plans/rules.py
@@ -46,6 +46,10 @@
     def id(self) -> str:
         return f"{self.kind}.{self.name}"
 
+    def moved(self, phase: Phase, since: int, pos: int, at: int) -> Record:
+        """The same in another phase. Written out: `dataclasses.replace` takes most of a large plan's time."""
+        return Record(self.kind, self.name, self.attrs, phase, since, pos, at)
+
     @property
     def place(self) -> str:
         """The node of a box; all upper caches stand in one place, since every node's proxies choose among them."""
@@ -116,10 +120,11 @@
     holders: dict[str, str] = field(default_factory=dict)  # address -> id
     named: Counter[str] = field(default_factory=Counter)  # id -> ready servers whose source it is
     belongs: Counter[str] = field(default_factory=Counter)  # node or hub -> what stands there
+    gone: frozenset[str] = frozenset()  # ids of servers that no proxy reaches: they carry nothing, whatever is recorded
 
     @classmethod
-    def of(cls, records: Iterable[Record], places: dict[str, Place]) -> Fleet:
-        fleet = cls(places=places)
+    def of(cls, records: Iterable[Record], places: dict[str, Place], gone: frozenset[str] = frozenset()) -> Fleet:
+        fleet = cls(places=places, gone=gone)
         for record in records:
             fleet.put(record)
         return fleet
@@ -131,7 +136,8 @@
         if record.kind == "proxy":
             self.counts[record.attrs["node"], record.phase] += by
         if record.kind in SERVERS:
-            self.counts[record.place, record.phase] += by
+            if record.id not in self.gone or not record.ready:
+                self.counts[record.place, record.phase] += by
             if record.ready:
                 for source in record.attrs.get("fills_from", ()):
                     self.named[source] += by
@@ -146,6 +152,17 @@
                 self.holders[record.attrs[word]] = record.id
         self._count(record, 1)
 
+    def move(self, old: Record, new: Record) -> None:
+        """The same thing in its next phase, which neither makes nor ends anything that others can see as ready."""
+        if old.ready != new.ready:
+            self.put(new)
+            return
+        self.records[new.id] = new
+        place = old.attrs["node"] if old.kind == "proxy" else old.place
+        if old.id not in self.gone or not old.ready:
+            self.counts[place, old.phase] -= 1
+            self.counts[place, new.phase] += 1
+
     def drop(self, id: str) -> None:
         record = self.records.pop(id)
         for word in ("address", "listen"):
@@ -177,6 +194,8 @@
         known = fleet.records.get(source)
         if known is None or not known.ready:
             return f"{source}, its source, is not ready"
+        if source in fleet.gone:
+            return f"{source}, its source, is out of every proxy's reach"
         if known.phase is Phase.COLD and fleet.warm(known.place):
             return f"{source}, its source, is cold"
     if record.phase is Phase.COLD and fleet.warm(record.place) + fleet.counts[record.place, Phase.DRAINING]:
@@ -193,10 +212,11 @@
         return f"{fleet.named[record.id]} others still fill from it"
     if record.kind != "box" and place.allow_empty and any(fleet.counts[p] for p in fleet.counts if p[0] != name):
         return "boxes are still there"
-    warm = fleet.warm(name) - (record.phase is Phase.WARM)
-    if warm < place.floor:
+    counted = record.id not in fleet.gone
+    warm = fleet.warm(name) - (counted and record.phase is Phase.WARM)
+    if counted and warm < place.floor:  # one that is out of reach carries nothing already
         return f"{name} must keep {place.floor} warm"
-    cold = fleet.cold(name) - (record.phase is Phase.COLD)
+    cold = fleet.cold(name) - (counted and record.phase is Phase.COLD)
     if place.wanted and cold > place.cold_limit(warm):
         return f"{name} has {cold} cold, too many for {warm} warm ones"
     return None
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -45,7 +45,7 @@
         self.loop, self.clock, self.stats, self.deadlines = turns.loop, turns.clock, turns.stats, turns.deadlines
         self.engine = Engine(config.settings, config.seed, self.clock, self.deadlines, self.stats, log)
         self.caches = CacheServers(self.engine, self._limits(config), log)
-        self.journal = Journal(self.engine, self.caches, log, config.name, config.report)
+        self.journal = Journal(self.engine, self.caches, log, config.name, config.report, config.line)
         self.front = Platform(self.engine, config.settings.classes, config.clients, config.outbound,
                               self.loop.call_soon, log)
         self.done = asyncio.Event()
