--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import ipaddress
 import os
-import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,13 +10,17 @@
 from threadhill.core.ports import Answer, Ask, Final
 from threadhill.core.slots import Slots
 from threadhill.dns import message as dns
+from threadhill.dns import records
 from threadhill.dns.message import Code, Query, Record, Response, Type
 from threadhill.dns.names import Kind, Place, place, zone_of
+from threadhill.dns.options import Extended
 from threadhill.hostnames import BOXES, labels_of
 
-GRANT = 200_000  # microseconds in which a server named by an SRV record may be looked up; under the drain limit
+GRANT = 200_000  # microseconds in which a server that a record named may be looked up; under the drain limit
 GRANTS = 4_096  # of them remembered at most
-SOA_TIMES = struct.pack("!4I", 3_600, 600, 86_400, 0)  # refresh, retry, expire, and 0: no negative answer is kept
+SOA_TIMES = (3_600, 600, 86_400, 0)  # refresh, retry, expire, and 0: no negative answer is kept
+KEEPALIVE = 100  # tenths of a second that an idle connection is kept, as clients are told (RFC 7828)
+NAMING = (Type.SRV, Type.SVCB, Type.HTTPS)  # types whose records name a server by a name of its own
 Reply = Callable[[bytes], None]
 Where = tuple[str, str, int]  # a server's name, host and port
 
@@ -31,6 +33,7 @@
     deadline: int = 1_000_000  # microseconds
     nameservers: tuple[str, ...] = ()
     connections: int = 64
+    nsid: bytes = b""  # who answered, for those who ask (RFC 5001)
 
 
 @dataclass(slots=True)
@@ -39,8 +42,8 @@
 
     query: Query
     place: Place
+    stream: bool  # it came over a connection
     reply: Reply
-    most: int
     handle: int = -1
 
 
@@ -65,17 +68,18 @@
             self.engine.stats.count("dns", "ignored")
             return None
         except dns.Bad as bad:
-            self._reply(bad.query, Response(bad.code, authoritative=False), reply, 65_535 if stream else 512)
+            self._reply(bad.query, Response(bad.code, authoritative=False), reply, stream)
             return None
-        most = 65_535 if stream else min(query.payload, dns.OUR_UDP)
         zone = zone_of(query.name, self.engine.tenants.zones())
         if zone is None or query.cls != dns.IN or query.type in (Type.AXFR, Type.IXFR):
-            self._reply(query, Response(Code.REFUSED, authoritative=False), reply, most)
+            error = (Extended.NOT_AUTHORITATIVE, "no zone of this server") if zone is None else (
+                Extended.PROHIBITED, "zone transfers and classes other than IN are not served")
+            self._reply(query, Response(Code.REFUSED, authoritative=False, error=error), reply, stream)
             return None
         at = place(query.name, zone, self.engine.tenants, self.classes)
         if at.kind in (Kind.TARGET, Kind.SERVICE) and self._steers(query, at):
-            return self._ask(Pending(query, at, reply, most))
-        self._reply(query, self._plain(query, at), reply, most)
+            return self._ask(Pending(query, at, stream, reply))
+        self._reply(query, self._plain(query, at), reply, stream)
         return None
 
     def forget(self, ref: int) -> None:
@@ -86,7 +90,7 @@
 
     def _steers(self, query: Query, at: Place) -> bool:
         """Whether the answer names a server; where it can't, none may be charged for it."""
-        if query.type == Type.SRV:
+        if query.type == Type.SRV or query.type in NAMING and at.kind is Kind.TARGET:
             return True
         family, there = {Type.A: 4, Type.AAAA: 6}.get(query.type), self.families()
         # With no server at all the name still has addresses, only none to be told now: SERVFAIL, not NODATA.
@@ -108,27 +112,41 @@
         if pending is None:
             return
         where = self.where(answer.server) if answer.final is Final.SERVED else None
-        response = Response(Code.SERVFAIL) if where is None else self._named(pending, answer.server, where)
-        self._reply(pending.query, response, pending.reply, pending.most)
-
-    def _reply(self, query: Query, response: Response, reply: Reply, most: int) -> None:
+        if where is not None:
+            response = self._named(pending, answer.server, where)
+        elif answer.final is Final.REFUSED:
+            wait = f"; come back in {-(-answer.come_back // 1_000)} ms" if answer.come_back else ""
+            text = "turned away" + wait
+            response = Response(Code.SERVFAIL, error=(Extended.PROHIBITED, text))
+        else:
+            response = Response(Code.SERVFAIL, error=(Extended.NOT_READY, "no server may be named now"))
+        self._reply(pending.query, response, pending.reply, pending.stream)
+
+    # --- replies
+
+    def _reply(self, query: Query, response: Response, reply: Reply, stream: bool) -> None:
+        """Send the response, with what EDNS asks for."""
         self.engine.stats.count("dns", response.code.name)
-        reply(dns.pack(query, response, most))
+        response.nsid = self.config.nsid
+        if stream and query.options.keepalive:  # over UDP there is no connection to keep (RFC 7828, section 3.2.1)
+            response.keepalive = KEEPALIVE
+        reply(dns.pack(query, response, 65_535 if stream else min(query.payload, dns.OUR_UDP)))
 
     # --- records
 
     def _named(self, pending: Pending, server: int, where: Where) -> Response:
         """The records that name a server to this query."""
         query, (name, host, port) = pending.query, where
-        address = _address(host)
-        if query.type != Type.SRV:
+        address = records.address(host)
+        if query.type not in NAMING:
             fits = address is not None and address.type == query.type
             return Response(answers=[address]) if fits else self._nothing(pending.place.zone)
-        target = dns.pack_name((name, BOXES, *labels_of(pending.place.zone)))
+        target = (name, BOXES, *labels_of(pending.place.zone))
         self._grant(name, server)
-        srv = Record(Type.SRV, struct.pack("!3H", 0, 0, port) + target)
         more = [] if address is None else [Record(address.type, address.data, target)]
-        return Response(answers=[srv], additional=more)
+        if query.type == Type.SRV:
+            return Response(answers=[records.srv(port, target)], additional=more)
+        return Response(answers=[records.service(query.type, port, target, address)], additional=more)
 
     def _grant(self, box: str, server: int) -> None:
         """A look-up of this target belongs to the answer just given, and is not charged a second time."""
@@ -144,7 +162,7 @@
             if until <= now:
                 del self._grants[key]
             elif key[0] == at.box and (where := self.where(server)) is not None:
-                address = _address(where[1])
+                address = records.address(where[1])
                 if address is None or query.type != address.type:
                     return self._nothing(at.zone)
                 del self._grants[key]
@@ -157,30 +175,19 @@
             return Response(Code.NXDOMAIN, authority=[self._soa(at.zone)])
         if at.kind is Kind.BOX:
             return self._box(at, query)
-        if query.type == Type.ANY:  # RFC 8482: a small answer instead of all there is
+        if query.type == Type.ANY:  # RFC 8482, section 4.2: a small answer instead of all there is
             return Response(answers=[Record(Type.HINFO, b"\x07RFC8482\x00")])
         if at.kind is Kind.APEX and query.type == Type.SOA:
-            return Response(answers=[self._soa(at.zone, dns.QUESTION)])
+            return Response(answers=[self._soa(at.zone, apex=True)])
         if at.kind is Kind.APEX and query.type == Type.NS and self.config.nameservers:
-            names = [dns.pack_name(labels_of(name)) for name in self.config.nameservers]
-            return Response(answers=[Record(Type.NS, name) for name in names])
+            return Response(answers=[Record(Type.NS, (labels_of(name),)) for name in self.config.nameservers])
         return self._nothing(at.zone)
 
     def _nothing(self, zone: str) -> Response:
         """The name exists, but nothing of this type."""
         return Response(authority=[self._soa(zone)])
 
-    def _soa(self, zone: str, owner: bytes = b"") -> Record:
+    def _soa(self, zone: str, apex: bool = False) -> Record:
         labels = labels_of(zone)
-        first = labels_of(self.config.nameservers[0]) if self.config.nameservers else ("ns", *labels)
-        data = dns.pack_name(first) + dns.pack_name(("hostmaster", *labels))
-        serial = struct.pack("!I", self.engine.tenants.version & 0xFFFFFFFF)
-        return Record(Type.SOA, data + serial + SOA_TIMES, owner or dns.pack_name(labels))
-
-
-def _address(host: str) -> Record | None:
-    try:
-        address = ipaddress.ip_address(host)
-    except ValueError:
-        return None  # a name is no address that could be handed out
-    return Record(Type.A if address.version == 4 else Type.AAAA, address.packed)
+        primary = labels_of(self.config.nameservers[0]) if self.config.nameservers else ("ns", *labels)
+        return records.soa(labels, primary, self.engine.tenants.version, SOA_TIMES, None if apex else labels)
--- a/threadhill/dns/message.py
+++ b/threadhill/dns/message.py
@@ -6,15 +6,20 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+from threadhill.dns import options
+from threadhill.dns.options import Extended, Option, Options
 from threadhill.hostnames import MOST_LABEL, MOST_NAME
 
 HEADER = struct.Struct("!6H")
 POINTER = 0xC0
-QUESTION = b"\xc0\x0c"  # a pointer to the question's name
 IN = 1
 PLAIN_UDP = 512  # bytes of a UDP response without EDNS
 OUR_UDP = 1_232  # what the answering side takes and sends with it
 DO = 0x8000
+FARTHEST = 0x3FFF  # where a compression pointer can point to
+NO_OPTIONS = Options()  # of all queries without any
+QUESTION = b"\xc0\x0c"  # a pointer to the question's name
+Labels = tuple[str, ...]
 
 
 class Type(IntEnum):
@@ -25,6 +30,8 @@
     AAAA = 28
     SRV = 33
     OPT = 41
+    SVCB = 64
+    HTTPS = 65
     IXFR = 251
     AXFR = 252
     ANY = 255
@@ -59,25 +66,29 @@
     id: int
     opcode: int = 0
     recursion: bool = False  # desired
+    checking_off: bool = False  # CD, copied to the response (RFC 4035, section 3.1.6)
     question: bytes = b""  # as it came, to be echoed with its letter case
-    name: tuple[str, ...] = ()  # labels in lower case
+    name: Labels = ()  # labels in lower case
     type: int = 0
     cls: int = IN
     edns: bool = False
     dnssec: bool = False
     payload: int = PLAIN_UDP
+    options: Options = NO_OPTIONS
+    size: int = 0  # bytes that it came in
 
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """A record whose TTL is 0: no answer may outlive a drain. `owner` is bytes as they stand in the message."""
+    """A record whose TTL is 0: no answer may outlive a drain.
 
-    type: int
-    data: bytes
-    owner: bytes = QUESTION
+    `data` is bytes, or pieces of which those that are labels may be compressed (RFC 3597, section 4: only in the types
+    of RFC 1035). `owner` is its name; none stands for the question's.
+    """
 
-    def pack(self) -> bytes:
-        return self.owner + struct.pack("!HHIH", self.type, IN, 0, len(self.data)) + self.data
+    type: int
+    data: bytes | tuple[bytes | Labels, ...]
+    owner: Labels | None = None
 
 
 @dataclass(slots=True)
@@ -89,13 +100,17 @@
     answers: list[Record] = field(default_factory=list)
     authority: list[Record] = field(default_factory=list)
     additional: list[Record] = field(default_factory=list)
+    error: tuple[Extended, str] | None = None  # why, where it is an error (RFC 8914)
+    scope: int = 0  # bits of the client's subnet that the answer holds for (RFC 7871)
+    nsid: bytes = b""
+    keepalive: int | None = None  # tenths of a second that an idle connection stays (RFC 7828)
 
 
-def pack_name(labels: tuple[str, ...]) -> bytes:
+def pack_name(labels: Labels) -> bytes:
     """A name without compression; ValueError where it is none."""
     packed = b""
     for label in labels:
-        raw = label.encode("ascii")
+        raw = label.encode("latin-1")
         if not 1 <= len(raw) <= MOST_LABEL:
             raise ValueError("a label has 1 to 63 bytes")
         packed += bytes([len(raw)]) + raw
@@ -104,7 +119,7 @@
     return packed + b"\0"
 
 
-def _read_name(raw: bytes, at: int) -> tuple[tuple[str, ...], int]:
+def _read_name(raw: bytes, at: int) -> tuple[Labels, int]:
     """The name there and where it ends; pointers lead backwards only, so that none can loop."""
     labels: list[str] = []
     end, length, lowest = -1, 0, at
@@ -130,7 +145,7 @@
         at += size
 
 
-def _read_option(query: Query, raw: bytes, at: int, named: bool) -> int:
+def _read_additional(query: Query, raw: bytes, at: int, named: bool) -> int:
     """One record of the additional section; an OPT sets what EDNS said. Returns where the record ends."""
     kind, cls, ttl, size = struct.unpack_from("!HHIH", raw, at)
     end = at + 10 + size
@@ -143,6 +158,7 @@
         query.dnssec = bool(ttl & DO)
         if ttl >> 16 & 0xFF:
             raise Bad(Code.BADVERS, query)
+        query.options = options.read_options(raw[at + 10 : end])
     return end
 
 
@@ -153,7 +169,7 @@
     id, flags, questions, answers, authority, additional = HEADER.unpack_from(raw)
     if flags & 0x8000:
         raise Ignored  # answering responses would let two servers talk for ever
-    query = Query(id, flags >> 11 & 0xF, bool(flags & 0x0100))
+    query = Query(id, flags >> 11 & 0xF, bool(flags & 0x0100), bool(flags & 0x0010), size=len(raw))
     if query.opcode:
         raise Bad(Code.NOTIMP, query)
     if questions != 1 or answers or authority:
@@ -165,7 +181,7 @@
         at = end + 4
         for _ in range(additional):
             owner, at = _read_name(raw, at)
-            at = _read_option(query, raw, at, bool(owner))
+            at = _read_additional(query, raw, at, bool(owner))
         if at != len(raw):
             raise ValueError("bytes follow the message")
     except (ValueError, IndexError, struct.error):
@@ -173,26 +189,93 @@
     return query
 
 
-def pack(query: Query, response: Response, most: int) -> bytes:
-    """The response in at most so many bytes: what does not fit is left out, and the header says so."""
-    extra = b""
-    if query.edns:
-        ttl = (response.code >> 4) << 24 | (DO if query.dnssec else 0)
-        extra = b"\0" + struct.pack("!HHIH", Type.OPT, OUR_UDP, ttl, 0)
-    flags = 0x8000 | query.opcode << 11 | response.authoritative << 10 | query.recursion << 8 | response.code & 0xF
-    sections = [response.answers, response.authority, response.additional]
+class Writer:
+    """A message's bytes, with the places of names that later ones may point to (RFC 1035, section 4.1.4)."""
+
+    def __init__(self, query: Query) -> None:
+        self.raw = bytearray(HEADER.size) + query.question
+        self.question = query.name
+        self.places: dict[Labels, int] | None = None  # most responses hold no name but the question's
+
+    def _first_places(self) -> dict[Labels, int]:
+        places, at = {}, HEADER.size
+        for i, label in enumerate(self.question):
+            places[self.question[i:]] = at
+            at += len(label) + 1
+        return places
+
+    def name(self, labels: Labels) -> None:
+        """Write a name, as a pointer from where it is there already."""
+        if self.places is None:
+            self.places = self._first_places()
+        for i, label in enumerate(labels):
+            place = self.places.get(labels[i:])
+            if place is not None:
+                self.raw += struct.pack("!H", POINTER << 8 | place)
+                return
+            if len(self.raw) <= FARTHEST:
+                self.places[labels[i:]] = len(self.raw)
+            raw = label.encode("latin-1")
+            if not 1 <= len(raw) <= MOST_LABEL:
+                raise ValueError("a label has 1 to 63 bytes")
+            self.raw += bytes([len(raw)]) + raw
+        self.raw += b"\0"
+
+    def record(self, record: Record) -> None:
+        if record.owner is None:
+            self.raw += QUESTION
+        else:
+            self.name(record.owner)
+        if isinstance(record.data, bytes):
+            self.raw += struct.pack("!HHIH", record.type, IN, 0, len(record.data)) + record.data
+            return
+        self.raw += struct.pack("!HHIH", record.type, IN, 0, 0)
+        at = len(self.raw) - 2
+        for piece in record.data:
+            if isinstance(piece, bytes):
+                self.raw += piece
+            else:
+                self.name(piece)
+        struct.pack_into("!H", self.raw, at, len(self.raw) - at - 2)
 
-    def whole(flags: int) -> bytes:
-        counts = [len(section) for section in sections]
-        counts[2] += bool(extra)
-        body = b"".join(record.pack() for section in sections for record in section)
-        return HEADER.pack(query.id, flags, bool(query.question), *counts) + query.question + body + extra
 
-    packed = whole(flags)
+def pack(query: Query, response: Response, most: int) -> bytes:
+    """The response in at most so many bytes. What does not fit goes by whole sets: first additional records, of which
+    nobody needs to hear (RFC 2181, section 9), then all, and the header says so."""
+    sections = [response.answers, response.authority, response.additional]
+    packed = _pack(query, response, sections, 0)
     if len(packed) > most and sections[2]:
-        sections[2] = []  # additional records may go missing without a word (RFC 2181, 9)
-        packed = whole(flags)
+        packed = _pack(query, response, [*sections[:2], []], 0)
     if len(packed) > most:
-        sections = [[], [], []]
-        packed = whole(flags | 0x0200)
+        packed = _pack(query, response, [[], [], []], 0x0200)
     return packed
+
+
+def _pack(query: Query, response: Response, sections: list[list[Record]], flags: int) -> bytes:
+    writer = Writer(query)
+    for section in sections:
+        for record in section:
+            writer.record(record)
+    counts = [len(section) for section in sections]
+    if query.edns:
+        counts[2] += 1
+        writer.raw += _opt(query, response)
+    flags |= 0x8000 | query.opcode << 11 | response.authoritative << 10 | query.recursion << 8
+    flags |= query.checking_off << 4 | response.code & 0xF
+    HEADER.pack_into(writer.raw, 0, query.id, flags, bool(query.question), *counts)
+    return bytes(writer.raw)
+
+
+def _opt(query: Query, response: Response) -> bytes:
+    """The OPT record of a response (RFC 6891, section 6.1)."""
+    asked, data = query.options, b""
+    if asked.subnet is not None and response.code != Code.FORMERR:
+        data += options.option(Option.SUBNET, asked.subnet.pack(response.scope if asked.subnet.source else 0))
+    if asked.nsid and response.nsid:
+        data += options.option(Option.NSID, response.nsid)
+    if response.keepalive is not None:
+        data += options.option(Option.KEEPALIVE, struct.pack("!H", response.keepalive))
+    if response.error is not None:
+        data += options.extended_error(*response.error)
+    ttl = (response.code >> 4) << 24 | (DO if query.dnssec else 0)
+    return b"\0" + struct.pack("!HHIH", Type.OPT, OUR_UDP, ttl, len(data)) + data
--- /dev/null
+++ b/threadhill/dns/options.py
@@ -0,0 +1,97 @@
+"""EDNS options (RFC 6891, section 6.1.2): what a query's say, and the bytes of a response's.
+
+An option that cannot be used makes the query malformed, as the RFC of each asks; one that is not known is skipped.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+
+OPTIONS = 32  # options of one query at most
+EXTRA_TEXT = 120  # bytes of an extended error's text at most
+
+
+class Option(IntEnum):
+    """Codes in use (IANA, DNS EDNS0 Option Codes)."""
+
+    NSID = 3  # RFC 5001
+    SUBNET = 8  # RFC 7871
+    COOKIE = 10  # RFC 7873
+    KEEPALIVE = 11  # RFC 7828
+    EXTENDED_ERROR = 15  # RFC 8914
+
+
+class Extended(IntEnum):
+    """Extended errors that are told (RFC 8914, section 4)."""
+
+    PROHIBITED = 18
+    NOT_READY = 14
+    NOT_AUTHORITATIVE = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Subnet:
+    """A client's network as a resolver tells it (RFC 7871, section 6)."""
+
+    family: int  # 1: IPv4, 2: IPv6, 0: none told
+    source: int  # bits of it that are told
+    address: bytes  # those bits, in whole bytes
+
+    def pack(self, scope: int) -> bytes:
+        """The option of a response: the query's, with the bits that the answer holds for."""
+        return struct.pack("!HBB", self.family, self.source, scope) + self.address
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What a query's options say."""
+
+    subnet: Subnet | None = None
+    nsid: bool = False
+    keepalive: bool = False
+
+
+def read_subnet(raw: bytes) -> Subnet:
+    """RFC 7871, section 7.1.2: anything but the shortest form of the prefix is malformed."""
+    if len(raw) < 4:
+        raise ValueError("a client subnet is cut off")
+    family, source, scope = struct.unpack_from("!HBB", raw)
+    address = raw[4:]
+    most = {0: 0, 1: 32, 2: 128}.get(family)
+    if most is None or source > most or scope or len(address) != (source + 7) // 8:
+        raise ValueError("a client subnet has a wrong length, family or scope")
+    if source % 8 and address[-1] & (0xFF >> source % 8):
+        raise ValueError("a client subnet has bits behind its prefix")
+    return Subnet(family, source, address)
+
+
+def read_options(raw: bytes) -> Options:
+    """All options of an OPT record; ValueError where one is malformed."""
+    subnet, seen, at, count = None, set(), 0, 0
+    while at < len(raw):
+        if at + 4 > len(raw):
+            raise ValueError("an option is cut off")
+        code, size = struct.unpack_from("!HH", raw, at)
+        data = raw[at + 4 : at + 4 + size]
+        at, count = at + 4 + size, count + 1
+        if len(data) < size or count > OPTIONS:
+            raise ValueError("an option is cut off, or there are too many")
+        if code == Option.SUBNET:
+            if subnet is not None:
+                raise ValueError("a second client subnet")
+            subnet = read_subnet(data)
+        elif code == Option.COOKIE and size != 8 and not 16 <= size <= 40:  # RFC 7873, section 5.2.2; none is given yet
+            raise ValueError("a cookie has a wrong length")
+        seen.add(code)
+    return Options(subnet, Option.NSID in seen, Option.KEEPALIVE in seen)
+
+
+def option(code: int, data: bytes) -> bytes:
+    return struct.pack("!HH", code, len(data)) + data
+
+
+def extended_error(code: int, text: str) -> bytes:
+    """RFC 8914, section 2: why, for programs and for people."""
+    return option(Option.EXTENDED_ERROR, struct.pack("!H", code) + text.encode()[:EXTRA_TEXT])
--- /dev/null
+++ b/threadhill/dns/records.py
@@ -0,0 +1,39 @@
+"""The data of records that name a server: addresses, SRV (RFC 2782), SVCB and HTTPS (RFC 9460)."""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+
+from threadhill.dns.message import Labels, Record, Type, pack_name
+
+PORT, HINT4, HINT6 = 3, 4, 6  # SvcParamKeys (RFC 9460, section 14.3.2)
+
+
+def address(host: str, owner: Labels | None = None) -> Record | None:
+    """The A or AAAA record of a literal address; None where the host is a name, which is nothing to be handed out."""
+    try:
+        found = ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    return Record(Type.A if found.version == 4 else Type.AAAA, found.packed, owner)
+
+
+def srv(port: int, target: Labels) -> Record:
+    """The only target: priority and weight say nothing. Its name is not compressed (RFC 2782, "Target")."""
+    return Record(Type.SRV, struct.pack("!3H", 0, 0, port) + pack_name(target))
+
+
+def service(kind: int, port: int, target: Labels, hint: Record | None) -> Record:
+    """A SVCB or HTTPS record in ServiceMode (RFC 9460, section 2.4.3), its parameters in the order of their keys."""
+    data = struct.pack("!H", 1) + pack_name(target) + struct.pack("!3H", PORT, 2, port)
+    if hint is not None:
+        key = HINT4 if hint.type == Type.A else HINT6
+        data += struct.pack("!2H", key, len(hint.data)) + hint.data
+    return Record(kind, data)
+
+
+def soa(zone: Labels, primary: Labels, serial: int, times: tuple[int, int, int, int],
+        owner: Labels | None) -> Record:
+    """RFC 1035, section 3.3.13; times are refresh, retry, expire and minimum, in seconds."""
+    return Record(Type.SOA, (primary, ("hostmaster", *zone), struct.pack("!5I", serial & 0xFFFFFFFF, *times)), owner)
