Start the benchmark by its file's name, and let dev find the program from any folder

Need: `python benchmarks/plan_apply.py` could not import the packages beside its folder, and processes that dev and the benchmark start were looked for in the folder of the moment (seen: "the control plane did not start" from elsewhere).

Change: the benchmark puts the repository's folder on its path when it is started by its file's name; processes that standin/dev.py starts are told where this program is.

--- a/benchmarks/plan_apply.py
+++ b/benchmarks/plan_apply.py
@@ -1,6 +1,6 @@
 """Measures plan and apply on a whole installation on loopback, and prints one line of JSON.
 
-    python -m benchmarks.plan_apply --json [--seed N] [--smoke]
+    python benchmarks/plan_apply.py --json [--seed N] [--smoke]
 
 | figure | what it is |
 | --- | --- |
@@ -33,14 +33,17 @@
 
 import orjson
 
-from benchmarks.rig import TOKEN, Load, Rig, Watcher, until
-from threadhill.control import client
-from threadhill.control.sqlite import NAME, Sqlite
-from threadhill.control.store import Change
-from threadhill.plans import forecast
-from threadhill.standin.servers import Server, body_of
-
 ROOT = Path(__file__).resolve().parent.parent
+if not __package__:  # started by its file's name: the packages stand beside its folder
+    sys.path.insert(0, str(ROOT))
+
+from benchmarks.rig import TOKEN, Load, Rig, Watcher, until  # noqa: E402
+from threadhill.control import client  # noqa: E402
+from threadhill.control.sqlite import NAME, Sqlite  # noqa: E402
+from threadhill.control.store import Change  # noqa: E402
+from threadhill.plans import forecast  # noqa: E402
+from threadhill.standin.servers import Server, body_of  # noqa: E402
+
 DRAIN = 0.250  # seconds, the rule on drains
 FALL, MULTIPLE, COLD_FROM = 3.0, 2.5, 0.16
 CARRIED = 0.8  # part of what boxes can do that is asked of them: what a cold box may be sent follows from it
--- a/threadhill/standin/dev.py
+++ b/threadhill/standin/dev.py
@@ -28,9 +28,16 @@
 from threadhill.standin.servers import Fleet
 
 LOOK = 0.1  # seconds between looks at the state
+ROOT = Path(__file__).resolve().parent.parent.parent
 PATIENCE = 30.0  # seconds that the control plane may take to start
 
 
+def environment(**more: str) -> dict[str, str]:
+    """That of this process, with which another one finds this same program, wherever it was started."""
+    path = os.pathsep.join(filter(None, (str(ROOT), os.environ.get("PYTHONPATH", ""))))
+    return {**os.environ, "PYTHONPATH": path, **more}
+
+
 class Installation:
     """What runs, beside the control plane at `api`."""
 
@@ -95,7 +102,7 @@
                 await self._end(name)
             started = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "threadhill", "serve", *(["--operator", self.operator] if self.operator else []),
-                env=os.environ | {"LB_CONFIG": str(file)}, stderr=asyncio.subprocess.DEVNULL, start_new_session=True)
+                env=environment(LB_CONFIG=str(file)), stderr=asyncio.subprocess.DEVNULL, start_new_session=True)
             self.proxies[name] = started, report
 
     async def _end(self, name: str) -> None:
@@ -117,7 +124,7 @@
     """A control plane as a process; it answers when this returns."""
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "threadhill", "control", "--data", str(data), "--api", api, "--feed", feed,
-        env=os.environ | {"THREADHILL_TOKEN": token}, start_new_session=True,
+        env=environment(THREADHILL_TOKEN=token), start_new_session=True,
         stderr=asyncio.subprocess.DEVNULL if quiet else None)
     ask = client.Caller(api, token)
     end = asyncio.get_running_loop().time() + PATIENCE
