Keep the proxies by name in the control plane in place of looking through all records

Seen on reading the change again: each step and each record that waits for confirmation went through all records to find the proxies, so a call that advances an apply cost steps under way x records; the server's tick did the same twice more, and the ledger's and the server's own look-ups were copies of it.

Change: the fleet's state keeps its proxies by name, as it keeps its other counts, and all four use that. A constant for upper caches that nothing read (the share of a node's boxes holds for them too) is gone. Behaviour is as before.

--- a/threadhill/control/ledger.py
+++ b/threadhill/control/ledger.py
@@ -279,7 +279,7 @@
         """What the proxies report, and what of it is not as recorded."""
         odd = {}
         shown = []
-        for record in sorted((r for r in self.fleet.records.values() if r.kind == "proxy"), key=lambda r: r.name):
+        for record in (record for _, record in sorted(self.fleet.proxies.items())):
             member = self.members.by_name.get(record.name)
             live = self.members.live(record.name, now)
             state = "live" if live else "silent" if member is not None else "never seen"
--- a/threadhill/control/progress.py
+++ b/threadhill/control/progress.py
@@ -30,10 +30,6 @@
     halted: str = ""  # why nothing more will come of this without an operator
 
 
-def proxies(fleet: Fleet) -> list[str]:
-    return [record.name for record in fleet.records.values() if record.kind == "proxy"]
-
-
 def settings(fleet: Fleet) -> dict[str, Any] | None:
     record = fleet.records.get("settings.settings")
     return record.attrs if record is not None else None
@@ -57,7 +53,7 @@
         if not members.live(record.name, now):
             return Phase.SET, "not live: it will start with it"
         return None, f"{record.name} to be restarted: it runs with an older configuration"
-    told = members.told(proxies(fleet), record.pos, record.at, now)
+    told = members.told(fleet.proxies, record.pos, record.at, now)
     if not told.done:
         return None, f"proxies {', '.join(told.waits[:5])} to apply event {record.pos}"
     note = f"silent, not waited for: {', '.join(told.passed[:5])}" if told.passed else ""
@@ -93,7 +89,7 @@
         return False, confirmed(fleet, record, members, now)[1]
     if not state.pos:
         return True, ""
-    told = members.told(proxies(fleet), state.pos, state.at, now)
+    told = members.told(fleet.proxies, state.pos, state.at, now)
     if not told.done:
         return False, f"proxies {', '.join(told.waits[:5])} to apply event {state.pos}"
     return True, f"silent, not waited for: {', '.join(told.passed[:5])}" if told.passed else ""
--- a/threadhill/control/server.py
+++ b/threadhill/control/server.py
@@ -107,19 +107,16 @@
                 self.log.info("confirmed", resource=record.id, phase=record.phase.value, note=note)
         except Unwritable as error:
             self.log.error("not written", error=str(error))
-        names = {r.name for r in self.ledger.fleet.records.values() if r.kind == "proxy"}
-        self.ledger.members.forget(names, self.now())
+        proxies = self.ledger.fleet.proxies
+        self.ledger.members.forget(set(proxies), self.now())
         live = {name for name in self.ledger.members.by_name if self.ledger.members.live(name, self.now())}
         for name in sorted(self._live - live):
             self.log.warning("proxy silent", proxy=name, waited_for_ms=self.ledger.members.silent)
         self._live = live
-        if {n: r.pos for n, r in self._proxies().items()} != {n: at for n, (at, _) in self._written.items()}:
+        if {n: r.pos for n, r in proxies.items()} != {n: at for n, (at, _) in self._written.items()}:
             self._soon()
         self.turns.deadlines.add(self.turns.clock.now() + TICK, self._tick)
 
-    def _proxies(self) -> dict[str, Any]:
-        return {r.name: r for r in self.ledger.fleet.records.values() if r.kind == "proxy"}
-
     # --- configuration files
 
     def _soon(self) -> None:
@@ -134,7 +131,7 @@
         self._dirty = False
         folder = self.places.data / "proxies"
         folder.mkdir(exist_ok=True)
-        here = self._proxies()
+        here = self.ledger.fleet.proxies
         try:
             for name, record in here.items():
                 wanted = (record.pos, self.ledger.pos)
--- a/threadhill/plans/rules.py
+++ b/threadhill/plans/rules.py
@@ -16,7 +16,6 @@
 from threadhill.plans.resource import SERVERS
 
 COLD_SHARE = 1 / 3  # part of a node's boxes that may be cold at once, whatever its link could carry
-PARENTS_SHARE = 1 / 3  # the same of all upper caches: what is cold among them is asked of the library
 
 
 class Phase(Enum):
@@ -120,6 +119,7 @@
     holders: dict[str, str] = field(default_factory=dict)  # address -> id
     named: Counter[str] = field(default_factory=Counter)  # id -> ready servers whose source it is
     belongs: Counter[str] = field(default_factory=Counter)  # node or hub -> what stands there
+    proxies: dict[str, Record] = field(default_factory=dict)  # by name
     gone: frozenset[str] = frozenset()  # ids of servers that no proxy reaches: they carry nothing, whatever is recorded
 
     @classmethod
@@ -147,6 +147,8 @@
         if old is not None:
             self.drop(old.id)
         self.records[record.id] = record
+        if record.kind == "proxy":
+            self.proxies[record.name] = record
         for word in ("address", "listen"):
             if word in record.attrs:
                 self.holders[record.attrs[word]] = record.id
@@ -158,6 +160,8 @@
             self.put(new)
             return
         self.records[new.id] = new
+        if new.kind == "proxy":
+            self.proxies[new.name] = new
         place = old.attrs["node"] if old.kind == "proxy" else old.place
         if old.id not in self.gone or not old.ready:
             self.counts[place, old.phase] -= 1
@@ -165,6 +169,7 @@
 
     def drop(self, id: str) -> None:
         record = self.records.pop(id)
+        self.proxies.pop(record.name if record.kind == "proxy" else "", None)
         for word in ("address", "listen"):
             if word in record.attrs and self.holders.get(record.attrs[word]) == id:
                 del self.holders[record.attrs[word]]
