Share and keep connections to servers as far as the price of a handshake says

Cause, net/lines.py: a server got a new connection for each attempt beside another, up to four; and an attempt that ran out of time with nothing heard since closed its connection and every idle one to that server. One proxy that talks to a server all the time has always heard something; one of 40 hardly ever has.

Change: settings tell what a handshake costs. A further connection is opened once sharing costs as much; a connection is left after as many unheard attempts, one after another, as it is worth. Where handshakes are free, as before.

--- a/tests/world.py
+++ b/tests/world.py
@@ -72,6 +72,7 @@
     def __init__(self) -> None:
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.accepted = 0  # connections so far
         self.host, self.port = "127.0.0.1", 0
 
     async def start(self) -> None:
@@ -80,6 +81,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
+        self.accepted += 1
         try:
             await self.talk(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -12,7 +12,7 @@
 from threadhill.decision import interface as api
 from threadhill.net.journal import Event, read_event
 from threadhill.net.lines import WIRE, Limits
-from threadhill.settings import Malformed, address, mapping, read_settings, sequence, text, whole
+from threadhill.settings import Malformed, address, mapping, number, read_settings, sequence, text, whole
 
 PROGRAM = 26  # MB that the program takes by itself
 LEAST_SPARE = 6  # MB beside it that are counted on, whatever the limit
@@ -66,6 +66,7 @@
             streams=whole(site.get("max-streams"), "max-streams") or 32,
             idle=whole(site.get("conn-idle"), "conn-idle") or 30_000_000,
             connect_timeout=whole(site.get("connect-timeout"), "connect-timeout") or 400_000,
+            handshake=max(0.0, number(mapping(options.get("costs"), "costs").get("handshake"), "costs.handshake")),
         ),
         clients=clients,
         outbound=int(spare * OUTBOUND_SHARE),
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -22,6 +22,8 @@
 USED = 64  # ids given up on a connection after which it is closed
 DONE = 256  # ids answered on a connection that it remembers: the longest that one request's attempts may span
 POOL = 4  # connections to one server at most: answers on a shared one were measured not to delay each other
+HOLDS_UP = 0.01  # part of an attempt's worth that is lost by sharing a connection with one other: about nothing
+VANISHED = 0.04  # part of the attempts that run out of time unheard whose machine or connection has vanished
 STALL = 500_000  # microseconds in the middle of an answer after which the rest is no more waited for
 MODES = ((api.FillMode.JOIN, "collapse"), (api.FillMode.HELD_ONLY, "only-if-cached"),
          (api.FillMode.PARENT_KEEPS_NOT, "no-store-up"), (api.FillMode.RENEW, "refresh"))
@@ -65,6 +67,7 @@
     streams: int = 32
     idle: int = 30_000_000
     connect_timeout: int = 400_000
+    handshake: float = 0.0  # price of a new connection, in requests
 
 
 @dataclass(slots=True)
@@ -86,7 +89,9 @@
         self.open: dict[str, int] = {}  # id -> attempt
         self.used: set[str] = set()  # ids given up here: their late answers must not pass for a new attempt's
         self.done: dict[str, None] = {}  # ids answered here lately: the answer may come a second time
-        self.suspect = False  # an attempt ran out of time here and nothing has come since it was sent
+        self.suspect = False  # so many attempts ran out of time unheard that nothing more is written here
+        self.unheard = 0  # attempts that ran out of time one after another, with nothing come since they were sent
+        self.doubted = 0  # when the last of them did
         self.heard = self.idle_since = pool.caches.engine.clock.now()
         self._head: tuple[str, str, dict[str, str]] | None = None
         self.counted = False  # it came up, so its end frees its place
@@ -120,8 +125,16 @@
         """Whether the answer under this id has begun to come."""
         return self._head is not None and self._head[0] == id
 
+    def doubt(self, sent: int) -> None:
+        """An attempt sent then was given up, and nothing came since. The machine may have vanished, which no reset
+        will tell; or the attempt was slow. A connection that is left for nothing costs its handshake, and one that
+        is kept for nothing another attempt: what handshakes cost says how often that may happen."""
+        if sent >= self.doubted:  # those that were out together say it once
+            self.unheard, self.doubted = self.unheard + 1, self.pool.caches.engine.clock.now()
+        self.suspect = self.suspect or self.unheard > self.pool.caches.limits.handshake / VANISHED
+
     def parse(self) -> None:
-        self.heard, self.suspect = self.pool.caches.engine.clock.now(), False
+        self.heard, self.suspect, self.unheard = self.pool.caches.engine.clock.now(), False, 0
         while not self._closing:
             if self._head is None:
                 line = self.inbound.peek(HEAD)
@@ -194,10 +207,15 @@
     def _may_dial(self) -> bool:
         """Whether one more connection may be opened: within this server's share and what the machine has. A server
         that cannot be reached at all otherwise gets its first one in any case."""
-        good = sum(wire.usable for wire in self.wires)
-        if not good + self.dialling:
+        good = [wire for wire in self.wires if wire.usable]
+        some = len(good) + self.dialling
+        if not some:
             return True
-        return good + self.dialling < self.caches.pool_most and self.caches.held < self.caches.limits.descriptors
+        # What sharing a connection costs must come to what another one does.
+        shared = sum(len(wire.open) for wire in good) + len(self.waiting)
+        if shared * HOLDS_UP < some * self.caches.limits.handshake and not (good and all(w.slow for w in good)):
+            return False
+        return some < self.caches.pool_most and self.caches.held < self.caches.limits.descriptors
 
     def _pick(self, id: str) -> Wire | None:
         """An idle connection, the last used first; where no more may be dialled, the one with the fewest out."""
@@ -324,10 +342,9 @@
         wire, id = sending.wire, sending.order.ask.rid
         if wire.open.pop(id, None) is None or wire.transport is None:
             return True
-        # Nothing came since this was sent: the machine may have vanished, which no reset will tell. What else is
-        # out here may wait; anything new goes to a new connection, which will not come up then.
-        wire.suspect = wire.suspect or wire.heard < sending.at
-        if wire.suspect:  # an idle connection knows no better
+        if wire.heard < sending.at:
+            wire.doubt(sending.at)
+        if wire.suspect:  # what else is out here may wait; an idle connection knows no better
             wire.pool.close_idle(self.engine.clock.now() + 1)
         if wire.stalled() or wire.suspect and not wire.open:
             wire.abort()  # a stalled one is of no use to the others on it either: they may be asked again elsewhere
