Let no attempt wait behind one whose id its only connection has carried; heed purges there

Ruled out, by a trace of 24,942 answers to requests that named an age: none was older than asked for, joined fills among them; every proxy was told every purge within 1.8 s. So the requests at fault named no age: they were decided on before the purge and written over 0.5 s later.

Cause, net/lines.py: an id goes on a connection only once.

Change: an attempt that none of the connections may carry is dialled for at once. What still waits for a connection when its object is purged goes back to the module, as it does when its server drains. Both tests fail without the change.

--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
 from tests.test_proxy import play
 from tests.world import World, until
+from threadhill.core.clock import Clock
+from threadhill.core.deadlines import Deadlines
+from threadhill.core.ports import Ask, Ended, Order
+from threadhill.decision import interface as api
+from threadhill.net.lines import CacheServers, Limits
+from threadhill.stats import Stats
 
 
 @pytest.mark.parametrize(("price", "most"), [(0.08, 1), (0.0, 9)])
@@ -45,3 +52,45 @@
         assert box.accepted == 2
 
     play(tmp_path, scene, caches=1, settings={"costs": {"handshake": 0.08}})
+
+
+def test_a_second_attempt_at_the_same_server_waits_for_nobody(tmp_path: Path) -> None:
+    """Guards against a queue that stands still: an id goes on a connection once, and where that is the only one, the
+    next attempt under it, with all that came after, waited until all else there was over."""
+
+    async def scene(w: World) -> None:
+        box, refused = w.caches[0], []
+
+        def behave(ask: dict[str, str]) -> tuple[str, str, bytes] | None:
+            if ask["nth"] == "1":
+                return None
+            if not refused:
+                refused.append(ask["id"])
+                return "refused", "-", b""
+            return box.serve_it(ask)
+
+        box.behave = behave
+        client = await w.client()
+        slow = client.ask(n=1)
+        await until(lambda: len(box.asked) == 1)
+        assert (await client.get(n=0))[0] == "200"
+        assert slow not in client.answers
+
+    play(tmp_path, scene, caches=1, settings={"costs": {"handshake": 0.08}})
+
+
+def test_a_purge_gives_back_what_waits_for_a_connection() -> None:
+    """Guards against an attempt that was decided on before the purge and is written long after it: it names no age."""
+    ends: list[tuple[int, Ended]] = []
+    clock = Clock()
+    engine = SimpleNamespace(clock=clock, deadlines=Deadlines(lambda when: None, lambda error: None), stats=Stats(),
+                             ended=lambda attempt, end: ends.append((attempt, end)))
+    caches = CacheServers(engine, Limits(), lambda text: None)
+    caches.dial = lambda pool: setattr(pool, "dialling", pool.dialling + 1)  # it never comes up
+    caches.known(1, "s-1", "127.0.0.1", 1)
+    for attempt, (object, group) in enumerate([("aa", 1), ("bb", 1), ("cc", 2), ("dd", 3)]):
+        ask = Ask(cls="art-pages", rid=f"{attempt:016x}", object=object, group=group, left=1_000_000)
+        caches.send(attempt, Order(ask, 1, 1, 1_000_000, 0, api.FillMode.PLAIN, 1))
+    caches.purged("aa", None)
+    caches.purged(None, 2)
+    assert ends == [(0, Ended(api.Outcome.UNSENT)), (2, Ended(api.Outcome.UNSENT))]
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -126,6 +126,8 @@
     def purged(self, purge: api.Purge) -> None:
         self.stats.count("purge", "object" if purge.object is not None else "group")
         self._take(purge)
+        if self.caches is not None:
+            self.caches.purged(purge.object, purge.group)
 
     # --- the turn
 
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -90,3 +90,7 @@
     def listed(self, entries: list[api.Entry]) -> None:
         """The list changed: what waits to be sent to one that is not ready must not go any more."""
         ...
+
+    def purged(self, object: str | None, group: int | None) -> None:
+        """Copies of these became void: what waits to be sent for them must be decided anew."""
+        ...
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -201,34 +201,34 @@
             attempt = self.waiting.popleft()
             if wire is not None and not self._write(wire, attempt):
                 self.waiting.appendleft(attempt)  # nothing of it was taken: it goes on the next connection
-        while self.ready and self.dialling < len(self.waiting) and self._may_dial():
-            self.caches.dial(self)
-
-    def _may_dial(self) -> bool:
-        """Whether one more connection may be opened: within this server's share and what the machine has. A server
-        that cannot be reached at all otherwise gets its first one in any case."""
+        if self.waiting:
+            id = self.caches.sendings[self.waiting[0]].order.ask.rid
+            while self.ready and self.dialling < len(self.waiting) and self._may_dial(id):
+                self.caches.dial(self)
+
+    def _may_dial(self, id: str) -> bool:
+        """Whether one more connection may be opened for this request: within this server's share and what the machine
+        has, and not while sharing those there are costs less. A server that cannot be reached at all otherwise gets
+        its first one in any case."""
         good = [wire for wire in self.wires if wire.usable]
         some = len(good) + self.dialling
         if not some:
             return True
-        # What sharing a connection costs must come to what another one does.
-        shared = sum(len(wire.open) for wire in good) + len(self.waiting)
-        if shared * HOLDS_UP < some * self.caches.limits.handshake and not (good and all(w.slow for w in good)):
-            return False
+        if self.dialling or any(not wire.slow and not wire.carries(id) for wire in good):
+            shared = sum(len(wire.open) for wire in good) + len(self.waiting)
+            if shared * HOLDS_UP < some * self.caches.limits.handshake:
+                return False
         return some < self.caches.pool_most and self.caches.held < self.caches.limits.descriptors
 
     def _pick(self, id: str) -> Wire | None:
         """An idle connection, the last used first; where no more may be dialled, the one with the fewest out."""
-        last = None
-        for wire in self.wires:
-            if not wire.open and (last is None or wire.idle_since > last.idle_since):
-                last = wire if wire.usable and not wire.slow and not wire.carries(id) else last
-        if last is not None:
-            return last
-        if self._may_dial():
-            return None
         good = [wire for wire in self.wires if wire.usable and not wire.slow]
         fit = [wire for wire in good if not wire.carries(id)]
+        idle = [wire for wire in fit if not wire.open]
+        if idle:
+            return max(idle, key=lambda wire: wire.idle_since)
+        if self._may_dial(id):
+            return None
         if good and not fit:  # all have carried this id: the one with the least on it makes room
             spare = min(good, key=lambda wire: len(wire.open))
             if not spare.open:
@@ -367,6 +367,13 @@
             if entry.state is api.State.GONE:
                 del self.servers[entry.server]
 
+    def purged(self, object: str | None, group: int | None) -> None:
+        """What still waits for a connection was decided on before the purge, and says nothing of its age."""
+        for attempt, sending in list(self.sendings.items()):
+            ask = sending.order.ask
+            if sending.wire is None and (ask.object == object if object is not None else ask.group == group):
+                self.ended(attempt, Ended(api.Outcome.UNSENT))
+
     # --- what the list tells of addresses
 
     def known(self, number: int, name: str, host: str, port: int) -> None:
