Add the operators' address: health, figures, cordon, quiesce and resume

Design: one more Door in admin/ with the HTTP reader that the administration API has, one call a connection, no token since only operators reach the address. Cordons live in core/ and rewrite the list the module sees (a cordoned server drains, one put back is told as started now, so cold); the module decides what a draining or cold server gets, as before. Quiesce tells STATUS no, closes connections as soon as nothing is owed, and from 1.5 s on refuses with a come-back time what comes on those that stay, so that nothing is held at 4 s.

Figures are counted where each end happens: served/refused/failed by the core's one final answer, the front's own refusals and failures beside them, relayed when an attempt is written to a line.

--- a/tests/world.py
+++ b/tests/world.py
@@ -220,8 +220,8 @@
     """Caches, a parent, the origin, the journal, and one proxy process."""
 
     def __init__(self, folder: Path, caches: int = 2, operator: str = "",
-                 settings: dict[str, Any] | None = None, sockets: int = 1024) -> None:
-        self.folder, self.operator, self.sockets = folder, operator, sockets
+                 settings: dict[str, Any] | None = None, sockets: int = 1024, management: bool = False) -> None:
+        self.folder, self.operator, self.sockets, self.management = folder, operator, sockets, management
         self.caches = [Box(f"s-{i:08x}") for i in range(1, caches + 1)]
         self.parent, self.origin = Box("s-000000b1", "parent", "sierra"), Box("s-000000c1", "origin", "sierra")
         self.boxes = [*self.caches, self.parent, self.origin]
@@ -246,15 +246,33 @@
             env=os.environ | {"LB_CONFIG": str(self.folder / "config.json"), "TOKEN": "t" * 20})
         self.reading = asyncio.ensure_future(self._read_log())
         self.port = await self.listens("n0")
+        if self.management:
+            self.manage_port = await self.listens("management")
         await until(lambda: self.journal.tails, "the journal's reader")
         return self
 
+    async def call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        """One call to the operators' address: status and body."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.manage_port)
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        raw = await reader.read()
+        writer.close()
+        head, _, rest = raw.partition(b"\r\n\r\n")
+        return int(head.split(b" ")[1]), rest
+
+    async def figures(self) -> dict[str, int]:
+        status, body = await self.call("GET", "/admin/stats")
+        assert status == 200
+        return {name: int(value) for name, _, value in (line.partition("=") for line in body.decode().split())}
+
     def configure(self, **more: Any) -> None:
         """Write the configuration file, or replace it."""
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": self.settings,
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
                   "journal": f"127.0.0.1:{self.journal.port}",
                   "known": {"pos": 1, "entries": [self.journal.events[0]]}} | more
+        if self.management:
+            config["management"] = "127.0.0.1:0"
         (self.folder / "config.json").write_text(json.dumps(config))
 
     async def logged(self, text: str) -> None:
--- a/threadhill/admin/http.py
+++ b/threadhill/admin/http.py
@@ -73,9 +73,11 @@
 
     idle = IDLE
 
-    def __init__(self, token: str, handler: Handler, door: Door, most_body: int = BODY) -> None:
+    def __init__(self, token: str | None, handler: Handler, door: Door, most_body: int = BODY,
+                 once: bool = False) -> None:
         super().__init__(door, HEAD + most_body, 4 * most_body)
-        self._token, self._handler, self._most = token, handler, most_body
+        # No token: an address that only operators reach. Once: one call a connection, then it is closed.
+        self._token, self._handler, self._most, self._once = token, handler, most_body, once
         self._head: tuple[str, str, dict[str, str]] | None = None
         self._length = 0
 
@@ -118,7 +120,7 @@
         method, path, headers = self._head
         self._head, self.wanted = None, 1
         call = Call(method, path, headers, self.inbound.take(self._length))
-        keep = headers.get("connection", "").lower() != "close"
+        keep = headers.get("connection", "").lower() != "close" and not self._once
         allow = ""
         try:
             status, body = self._handler(call)
@@ -138,15 +140,18 @@
         return int(text)
 
     def _authorize(self, headers: dict[str, str]) -> None:
+        if self._token is None:
+            return
         scheme, _, token = headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer" or not hmac.compare_digest(token.strip().encode(), self._token.encode()):
             raise Problem(401, "unauthorized", "a valid bearer token is needed")
 
     def _send(self, status: int, body: Any, keep: bool, allow: str = "", linger: bool = False) -> None:
-        raw = b"" if status == 204 else orjson.dumps(body)
+        text = isinstance(body, bytes)  # figures go as lines of text, the rest as JSON
+        raw = b"" if status == 204 else body if text else orjson.dumps(body)
         lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(raw)}"]
         if raw:
-            lines.append("Content-Type: application/json")
+            lines.append("Content-Type: " + ("text/plain; charset=utf-8" if text else "application/json"))
         if status == 401:
             lines.append('WWW-Authenticate: Bearer realm="threadhill"')
         if allow:
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -40,6 +40,7 @@
     outbound: int  # bytes that may wait for all of them together
     line: int = 1 << 20  # bytes that one event of the journal may have
     report: str | None = None  # which configuration this is, where the journal service is to be told
+    management: tuple[str, int] | None = None  # the operators' address, where the platform gives one
 
 
 def read_config(raw: Any, environ: Mapping[str, str]) -> Config:
@@ -53,6 +54,7 @@
     clients = sockets // 2  # usual clients hold a third at most, and caches need few: the rest is for a crowd
     known = mapping(raw.get("known"), "known")
     seed = raw.get("seed") or "0"
+    management = environ.get("LB_MANAGEMENT") or raw.get("management")
     return Config(
         name=environ.get("LB_NAME") or raw.get("name") or "threadhill",
         listen=address(environ.get("LB_LISTEN") or raw.get("listen"), "listen"),
@@ -72,6 +74,7 @@
         outbound=int(spare * OUTBOUND_SHARE),
         line=min(16 << 20, max(1 << 20, spare // 16)),
         report=text(raw["report"], "report") if raw.get("report") else None,
+        management=address(management, "management") if management else None,
     )
 
 
--- /dev/null
+++ b/threadhill/core/cordons.py
@@ -0,0 +1,79 @@
+"""Cache servers that operators took out by hand. The module is told of them as draining, whatever the journal says,
+and is told of them again, as newly started, when they are put back: operators restart them meanwhile, so they come
+back cold and the module's cold rule must hold for them.
+
+Why here and not in the module: the module decides what a draining or cold server gets, and that stays its decision;
+what is rewritten here is only what the list says, which is the operators' to say. Nothing here does I/O.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from threadhill.decision import interface as api
+
+MOST = 4_096  # names that may be out by hand at once: more than any list holds, so that the table stays bounded
+
+
+class Cordons:
+    """The true list as the journal told it, and which of its servers are out by hand."""
+
+    def __init__(self) -> None:
+        self.listed: dict[int, api.Entry] = {}  # the journal's own word on each server
+        self.out: dict[int, str] = {}  # number -> name, of those out by hand
+        # Of those put back: the journal's start and the one told instead, until the journal tells another.
+        self.back: dict[int, tuple[int, int]] = {}
+
+    def screen(self, news: api.ListNews) -> api.ListNews:
+        """List news as the module is to see it: who is out by hand drains. The true list is kept."""
+        if news.kind is api.ListKind.FAILED:
+            return news
+        if news.kind is not api.ListKind.CHANGES:
+            self.listed = {}
+        for entry in news.entries:
+            if entry.state is api.State.GONE:
+                self.listed.pop(entry.server, None)
+                self.back.pop(entry.server, None)
+            else:
+                self.listed[entry.server] = entry
+        if not any(entry.server in self.out or entry.server in self.back for entry in news.entries):
+            return news
+        return replace(news, entries=tuple(self._seen(entry) for entry in news.entries))
+
+    def _seen(self, entry: api.Entry) -> api.Entry:
+        told, instead = self.back.get(entry.server, (-1, 0))
+        if told == entry.since:
+            entry = replace(entry, since=instead)
+        elif told >= 0:  # the journal knows of a start of its own now
+            del self.back[entry.server]
+        if entry.server in self.out and entry.state is api.State.READY:
+            return replace(entry, state=api.State.DRAINING)
+        return entry
+
+    def known(self, number: int) -> bool:
+        """Whether anybody has this server: listed now, or out by hand."""
+        return number in self.listed or number in self.out
+
+    def cordon(self, number: int, name: str) -> api.ListNews | None:
+        """Take one out; the news for the module, or None where nothing changes for it. A second call changes
+        nothing: one call back undoes both."""
+        if number in self.out or len(self.out) >= MOST and number not in self.out:
+            return None
+        self.out[number] = name
+        entry = self.listed.get(number)
+        if entry is None or entry.state is not api.State.READY:
+            return None
+        return api.ListNews(api.ListKind.CHANGES, (replace(entry, state=api.State.DRAINING),))
+
+    def uncordon(self, number: int, now: int) -> api.ListNews | None:
+        """Put one back: it is told as started now, so that the module takes it for cold."""
+        if self.out.pop(number, None) is None:
+            return None
+        entry = self.listed.get(number)
+        if entry is None or entry.state is not api.State.READY:
+            return None
+        self.back[number] = entry.since, now
+        return api.ListNews(api.ListKind.CHANGES, (replace(entry, since=now),))
+
+    def names(self) -> list[str]:
+        return sorted(self.out.values())
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from threadhill.core.clock import Clock
+from threadhill.core.cordons import Cordons
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.ports import Answer, Ask, Caches, Ended, Final, Front, Order
 from threadhill.core.slots import Slots
@@ -51,6 +52,7 @@
         self.router = Router(settings, seed)
         self.clock, self.deadlines, self.stats, self._log = clock, deadlines, stats, log
         self.tenants = Tenants()
+        self.cordons = Cordons()
         self.requests: Slots[Request] = Slots()
         self.attempts: Slots[Attempt] = Slots()
         self.caches: Caches | None = None
@@ -119,10 +121,48 @@
 
     def listed(self, news: api.ListNews) -> None:
         """The list changed. The module knows before anything that waits is sent on, or given back to it."""
+        self._listed(self.cordons.screen(news))
+
+    # --- what operators call
+
+    def cordon(self, number: int, name: str) -> bool:
+        """Take a cache server out by hand; False where nobody has it."""
+        if not self.cordons.known(number):
+            return False
+        news = self.cordons.cordon(number, name)
+        if news is not None:
+            self.stats.count("cordon", "out")
+            self._listed(news)
+        return True
+
+    def uncordon(self, number: int) -> bool:
+        """Put one back that was out by hand; False where nobody has it. One that was not out stays as it is."""
+        if not self.cordons.known(number):
+            return False
+        news = self.cordons.uncordon(number, self.clock.now())
+        if news is not None:
+            self.stats.count("cordon", "back")
+            self._listed(news)
+        return True
+
+    def _listed(self, news: api.ListNews) -> None:
         self._take(news)
         if self.caches is not None:
             self.caches.listed(list(news.entries))
 
+    def rotation(self) -> tuple[int, int]:
+        """Cache servers in the list, and how many of them are avoided now: by hand, by the list, or by the module
+        for what it learnt of them."""
+        fleet, now = self.router.fleet, self.clock.now()
+        above = (fleet.parent_kind, fleet.origin_kind)
+        listed = [entry for entry in self.cordons.listed.values() if entry.kind not in above]
+        out = 0
+        for entry in listed:
+            server = fleet.servers.get(entry.server)
+            out += (entry.server in self.cordons.out or entry.state is not api.State.READY or server is None
+                    or server.ejected_until > now)
+        return len(listed), out
+
     def purged(self, purge: api.Purge) -> None:
         self.stats.count("purge", "object" if purge.object is not None else "group")
         self._take(purge)
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -120,6 +120,10 @@
         self._look()
         return self._socket.getsockname()[1]
 
+    @property
+    def listening(self) -> bool:
+        return self._socket is not None
+
     def fault(self, trace: str) -> None:
         self.engine.stats.count("fault", self.name)
         self._log(f"{self.name}: {trace}")
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -247,6 +247,7 @@
             return False
         sending.wire, sending.at = wire, self.caches.engine.clock.now()
         wire.open[sending.order.ask.rid] = attempt
+        self.caches.engine.stats.count("relayed", sending.order.ask.cls)
         self.caches.engine.stats.count("bytes_out", "servers", len(body))
         return True
 
@@ -358,7 +359,11 @@
     def listed(self, entries: list[api.Entry]) -> None:
         for entry in entries:
             pool = self.servers.get(entry.server)
-            if pool is None or entry.state is api.State.READY:
+            if pool is None:
+                continue
+            if entry.state is api.State.READY:
+                if not pool.ready:  # back from a drain that only this side knew of: its address stands
+                    self.servers[entry.server] = Pool(self, pool.name, pool.host, pool.port)
                 continue
             pool.retire()
             for attempt, sending in list(self.sendings.items()):
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -24,6 +24,9 @@
 COME_BACK = 500_000  # microseconds that one refused by the front itself is asked to stay away
 BUDGET = 3_600_000  # milliseconds that a client may wait at most
 SHARDS = 256
+QUIET_LOOK = 50_000  # microseconds between looks for connections to close while this proxy drains
+QUIET_NEW = 300_000  # microseconds that a connection that said nothing yet has for its first request then
+QUIET_REFUSE = 1_500_000  # microseconds of a drain after which what comes on a connection that stays is sent away
 HEX = re.compile(r"[0-9a-f]{16}")
 WHOLE = re.compile(r"[0-9]{1,10}")
 SIZE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -134,10 +137,38 @@
         self.ready = False
         self.refusing = False  # nothing new is taken any more
         self.rids: set[str] = set()  # ids of the open requests
+        self.quiet = 0  # since when clients are sent away, or 0
+        self._quiet_turn = 0  # which drain the looks belong to: one that was ended and begun again has its own
 
     def open(self) -> int:
         return len(self.rids)
 
+    def quiesce(self) -> None:
+        """Send clients away: the front is told that this proxy does not serve, and connections are closed as soon
+        as nothing is owed on them. What is asked meanwhile is served, at first."""
+        self.ready = False
+        if not self.quiet:
+            self.quiet = self.engine.clock.now()
+            self._quiet_turn += 1
+            self._quiet_look(self._quiet_turn)
+
+    def resume(self) -> None:
+        self.quiet = 0
+        self.ready = True
+
+    def sends_away(self, now: int) -> bool:
+        """Whether what comes on a connection that stays is refused: late in a drain, so that all are gone in time."""
+        return bool(self.quiet) and now - self.quiet >= QUIET_REFUSE
+
+    def _quiet_look(self, turn: int) -> None:
+        if not self.quiet or turn != self._quiet_turn:
+            return
+        now = self.engine.clock.now()
+        for guest in list(self.door.guests):
+            if isinstance(guest, Client) and guest.may_close(now):
+                guest.close()
+        self.engine.deadlines.add(now + QUIET_LOOK, lambda: self._quiet_look(turn))
+
     def backlog(self) -> int:
         return sum(client.backlog() for client in self.door.guests)
 
@@ -163,6 +194,11 @@
     def midway(self) -> bool:
         return self._reading and not self._held and len(self.inbound) > 0
 
+    def may_close(self, now: int) -> bool:
+        """Whether it may be closed while the proxy drains: nothing owed or under way, and not one so new that its
+        first request may be on the way."""
+        return not self.owed() and not len(self.inbound) and (self.messages > 0 or now - self.since >= QUIET_NEW)
+
     def _forget(self, tag: int) -> None:
         """The client waits no more for this one, if it did."""
         handle, rid = self.open.pop(tag, (-1, ""))
@@ -235,6 +271,7 @@
     def _ask(self, tag: int, words: list[bytes]) -> bool:
         if tag in self.open:
             raise Malformed("the tag is in use")
+        cls = None
         try:
             if len(words) < 4:
                 raise ValueError("a request has a class and fields")
@@ -244,6 +281,8 @@
             ask = read_ask(cls, words[3], words[4] if len(words) > 4 else b"")
         except ValueError as error:
             self.front.engine.stats.count("malformed", "request")
+            if cls is not None:
+                self.front.engine.stats.count("front_failed", cls.name)
             self.front.log(f"request not usable: {error!r}")
             self._say(tag, Answer(Final.FAILED))
             return False
@@ -252,12 +291,13 @@
             if any(rid == ask.rid for _, rid in self.open.values()):
                 raise Malformed("the id is in use")
             self.front.engine.stats.count("malformed", "id in use")
+            self.front.engine.stats.count("front_failed", ask.cls)
             self._say(tag, Answer(Final.FAILED))
             return False
-        if len(self.open) >= OPEN or self.front.refusing:
-            self.front.engine.stats.count("refused by the front", ask.cls)
+        if len(self.open) >= OPEN or self.front.refusing or self.front.sends_away(self.front.engine.clock.now()):
+            self.front.engine.stats.count("front_refused", ask.cls)
             self._say(tag, Answer(Final.REFUSED, come_back=COME_BACK))
-            return self.front.refusing
+            return len(self.open) < OPEN  # only a client past its own bound is at fault
         self.open[tag] = -1, ask.rid
         self.front.rids.add(ask.rid)
         handle = self.front.engine.ask(self, tag, ask)
@@ -273,6 +313,8 @@
         self.front.rids.discard(rid)
         self._say(ref, answer)
         self._throttle()
+        if self.front.quiet and self.may_close(self.front.engine.clock.now()):
+            self.close()
 
     def _say(self, ref: int, answer: Answer) -> None:
         """An answer, in one piece: one begun would hold up those of all other tags."""
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -17,7 +17,7 @@
 from threadhill.core.engine import Engine
 from threadhill.log import Log
 from threadhill.net.door import Door
-from threadhill.net.journal import Journal
+from threadhill.net.journal import Journal, server_number
 from threadhill.net.lines import CacheServers, Limits
 from threadhill.net.resp import Platform
 from threadhill.net.turns import Turns
@@ -29,6 +29,7 @@
 SERVE_ON = 700_000  # microseconds after SIGTERM in which requests still come and are taken
 GARBAGE = 10_000  # objects made, net of those freed, after which the collector looks for cycles
 ADMINS = 16  # connections to the administration API at once
+CALLERS = 32  # connections to the operators' address at once
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
 LONGEST = 3_000_000  # microseconds of the longest deadline, where the classes' are shorter
 BEFORE_KILL = 50_000  # microseconds before the longest deadline has passed as well: SIGKILL may come then
@@ -55,6 +56,7 @@
         """What the caches' side may use: the operator's fronts take their descriptors from it."""
         dns, admin = (self.operator.dns, self.operator.admin) if self.operator is not None else (None, None)
         taken = (dns.connections if dns is not None else 0) + (ADMINS if admin is not None else 0)
+        taken += CALLERS if config.management is not None else 0
         return replace(config.limits, descriptors=max(16, config.limits.descriptors - taken))
 
     async def run(self) -> None:
@@ -70,6 +72,8 @@
         self.journal.follow(self.config.journal)
         host, port = self.config.listen
         port = await self.front.door.listen(host, port)
+        if self.config.management is not None:
+            await self._serve_management(self.config.management)
         if self.operator is not None:
             if self.operator.dns is not None:
                 await self._serve_dns(self.operator.dns)
@@ -98,6 +102,37 @@
         host = config.listen[0]
         log.say(f"admin: serving on {host}:{await door.listen(*config.listen)}")
 
+    async def _serve_management(self, where: tuple[str, int]) -> None:
+        from threadhill.admin.management import management_door
+
+        door = management_door(self.engine, self, log, CALLERS)
+        log.say(f"management: serving on {where[0]}:{await door.listen(*where)}")
+
+    # --- what the operators' address asks
+
+    def healthy(self) -> bool:
+        return self.front.door.listening and not self._leaving
+
+    def figures(self) -> dict[str, int]:
+        from threadhill.core.figures import figures
+
+        return figures(self.stats, self.config.settings.classes, len(self.engine.requests), *self.engine.rotation())
+
+    def cordon(self, name: str) -> bool:
+        return self.engine.cordon(server_number(name), name)
+
+    def uncordon(self, name: str) -> bool:
+        return self.engine.uncordon(server_number(name))
+
+    def quiesce(self) -> None:
+        log.say("quiesce: clients are sent away")
+        self.front.quiesce()
+
+    def resume(self) -> None:
+        if not self._leaving:
+            log.say("resume: clients are taken again")
+            self.front.resume()
+
     def reload(self, environ: Mapping[str, str] = os.environ) -> None:
         """SIGHUP: the file is read and checked whole before anything changes; a bad one changes nothing. Journal
         and limits move at once; what stands for the process itself, or shapes the module, takes a restart."""
