Take the clients' socket from descriptor 7 for an upgrade; let the old process go

Design: where LB_LISTEN_FD names a descriptor, the front's door adopts that listening socket instead of binding, and never drains its queue on the way out: the other process takes from the same socket. On SIGTERM the old process shuts its door at once, drains as quiesce does (closes connections when nothing is owed, sends late ones away after 1.5 s) and ends when no connection is left, before SIGKILL at the latest. Not taken: SO_REUSEPORT on a new bind, since the kernel then spreads new connections over both and drops those queued at the old one when it closes.

A bad LB_LISTEN_FD is a clear error with exit 2.

--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,87 @@
+"""Replacing the process under load: both take from the socket that the platform keeps, the old one lets go."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+import signal
+import sys
+from pathlib import Path
+
+from tests.test_proxy import play
+from tests.world import ROOT, Client, World, until
+
+
+async def health(port: int) -> int:
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return 0
+    writer.write(b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n")
+    raw = await reader.read()
+    writer.close()
+    return int(raw.split(b" ")[1]) if raw else 0
+
+
+async def steady(w: World, count: int, answers: list[str]) -> None:
+    """A client that asks one thing after another; where its connection is closed it comes again on a new one, and
+    sends what crossed the close once more, as the platform's clients do."""
+    client: Client | None = None
+    for i in range(count):
+        for _ in range(2):
+            if client is None or client.task.done():
+                client = await w.client()
+            tag = client.ask(obj=f"{i:016x}")
+            await until(lambda: tag in client.answers or client.task.done(), "an answer or a close")
+            if tag in client.answers:
+                answers.append(client.answers[tag][0])
+                break
+        else:
+            answers.append("lost")
+        await asyncio.sleep(0.01)
+
+
+def test_a_second_process_takes_over_without_a_request_turned_back(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        answers: list[str] = []
+        load = asyncio.ensure_future(steady(w, 150, answers))
+        await until(lambda: len(answers) >= 20, "some answers from the first process")
+        second = await w.start(LB_MANAGEMENT="127.0.0.1:0", LB_NAME="n0")
+        log = b""
+
+        async def read() -> None:
+            nonlocal log
+            while line := await second.stderr.readline():
+                log += line
+
+        reading = asyncio.ensure_future(read())
+        found = await until(lambda: re.search(rb"management: serving on .*:(\d+)", log), "the second's address")
+        port = int(found[1])
+        while await health(port) != 200:
+            await asyncio.sleep(0.02)
+        w.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(w.process.wait(), 10) == 0
+        await load
+        assert answers.count("200") == 150, answers
+        assert second.returncode is None  # only the old process may exit
+        second.kill()
+        await second.wait()
+        reading.cancel()
+
+    play(tmp_path, scene, inherit=True, management=True)
+
+
+def test_a_descriptor_that_is_no_socket_is_a_clear_error(tmp_path: Path) -> None:
+    async def scene() -> None:
+        config = tmp_path / "config.json"
+        config.write_text('{"name":"n0","listen":"127.0.0.1:0","settings":{}}')
+        for value, said in (("seven", b"LB_LISTEN_FD is not a descriptor number"), ("2", b"of 3 or more"),
+                            ("7", b"descriptor 7 is not a socket")):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "threadhill", "serve", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+                env=os.environ | {"LB_CONFIG": str(config), "LB_LISTEN_FD": value})
+            _, error = await process.communicate()
+            assert process.returncode == 2 and said in error, error
+
+    asyncio.run(scene())
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,6 +8,7 @@
 import os
 import re
 import signal
+import socket
 import sys
 import time
 from collections.abc import Callable
@@ -216,12 +217,19 @@
             self.answers[tag] = (words[1].decode(), fields, words[3])
 
 
+# Puts the socket that it was given at descriptor 7, as the platform does, and becomes the program.
+INHERIT = "import os, sys; os.dup2(int(sys.argv[1]), 7); os.execv(sys.argv[2], sys.argv[2:])"
+
+
 class World:
     """Caches, a parent, the origin, the journal, and one proxy process."""
 
     def __init__(self, folder: Path, caches: int = 2, operator: str = "",
-                 settings: dict[str, Any] | None = None, sockets: int = 1024, management: bool = False) -> None:
+                 settings: dict[str, Any] | None = None, sockets: int = 1024, management: bool = False,
+                 inherit: bool = False) -> None:
         self.folder, self.operator, self.sockets, self.management = folder, operator, sockets, management
+        # Where the platform keeps the clients' socket for an upgrade, each process is given it as descriptor 7.
+        self.listener = socket.create_server(("127.0.0.1", 0)) if inherit else None
         self.caches = [Box(f"s-{i:08x}") for i in range(1, caches + 1)]
         self.parent, self.origin = Box("s-000000b1", "parent", "sierra"), Box("s-000000c1", "origin", "sierra")
         self.boxes = [*self.caches, self.parent, self.origin]
@@ -237,13 +245,7 @@
             await listener.start()
         self.journal.hosts(*(box.member() for box in self.boxes), complete=True)
         self.configure()
-        words = [sys.executable, "-m", "threadhill", "serve"]
-        if self.operator:
-            (self.folder / "operator.toml").write_text(self.operator)
-            words += ["--operator", str(self.folder / "operator.toml")]
-        self.process = await asyncio.create_subprocess_exec(
-            *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"LB_CONFIG": str(self.folder / "config.json"), "TOKEN": "t" * 20})
+        self.process = await self.start()
         self.reading = asyncio.ensure_future(self._read_log())
         self.port = await self.listens("n0")
         if self.management:
@@ -265,6 +267,22 @@
         assert status == 200
         return {name: int(value) for name, _, value in (line.partition("=") for line in body.decode().split())}
 
+    async def start(self, **environment: str) -> asyncio.subprocess.Process:
+        """A proxy process as the platform starts one."""
+        words = [sys.executable, "-m", "threadhill", "serve"]
+        if self.operator:
+            (self.folder / "operator.toml").write_text(self.operator)
+            words += ["--operator", str(self.folder / "operator.toml")]
+        given: tuple[int, ...] = ()
+        if self.listener is not None:
+            given = (self.listener.fileno(),)
+            words = [sys.executable, "-c", INHERIT, str(given[0]), *words]
+            environment["LB_LISTEN_FD"] = "7"
+        return await asyncio.create_subprocess_exec(
+            *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE, pass_fds=given,
+            env=os.environ | {"LB_CONFIG": str(self.folder / "config.json"), "TOKEN": "t" * 20,
+                              "TMPDIR": str(self.folder)} | environment)
+
     def configure(self, **more: Any) -> None:
         """Write the configuration file, or replace it."""
         config = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": self.settings,
@@ -288,6 +306,8 @@
         for listener in [*self.boxes, self.journal]:
             listener.server.close()
             listener.reset()
+        if self.listener is not None:
+            self.listener.close()
 
     async def _read_log(self) -> None:
         while line := await self.process.stderr.readline():
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -41,6 +41,7 @@
     line: int = 1 << 20  # bytes that one event of the journal may have
     report: str | None = None  # which configuration this is, where the journal service is to be told
     management: tuple[str, int] | None = None  # the operators' address, where the platform gives one
+    listen_fd: int | None = None  # the clients' listening socket, where the platform keeps it for an upgrade
 
 
 def read_config(raw: Any, environ: Mapping[str, str]) -> Config:
@@ -75,9 +76,20 @@
         line=min(16 << 20, max(1 << 20, spare // 16)),
         report=text(raw["report"], "report") if raw.get("report") else None,
         management=address(management, "management") if management else None,
+        listen_fd=descriptor(environ.get("LB_LISTEN_FD")),
     )
 
 
+def descriptor(value: str | None) -> int | None:
+    """`LB_LISTEN_FD`: the number of an open descriptor past standard input, output and error."""
+    if value is None or value == "":
+        return None
+    if not (value.isascii() and value.isdigit()) or len(value) > 7 or int(value) < 3:
+        raise Malformed(f"LB_LISTEN_FD is not a descriptor number of 3 or more: {value[:20]!r}; unset it to listen on "
+                        "LB_LISTEN instead")
+    return int(value)
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read the file that LB_CONFIG names."""
     path = environ.get("LB_CONFIG")
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -101,6 +101,7 @@
         self.guests: dict[Guest, None] = {}
         self._coming: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
+        self._inherited = False
         self._loop = asyncio.get_running_loop()
 
     async def listen(self, host: str, port: int) -> int:
@@ -120,6 +121,22 @@
         self._look()
         return self._socket.getsockname()[1]
 
+    def adopt(self, descriptor: int) -> int:
+        """Listen on a socket that this process was given, listening already; the port. It stays the platform's: on
+        the way out it is left to whoever else holds it, with the connections that wait in its queue."""
+        try:
+            found = socket.socket(fileno=descriptor)
+        except OSError as error:
+            raise OSError(f"descriptor {descriptor} is not a socket: {error.strerror}") from None
+        if found.type != socket.SOCK_STREAM or not found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            found.detach()
+            raise OSError(f"descriptor {descriptor} is not a listening TCP socket")
+        found.setblocking(False)
+        self._socket, self._inherited = found, True
+        self._open()
+        self._look()
+        return found.getsockname()[1]
+
     @property
     def listening(self) -> bool:
         return self._socket is not None
@@ -133,7 +150,7 @@
         counts as taken: closing over them would reset them unheard."""
         if self._socket is not None:
             self._loop.remove_reader(self._socket)
-            while self._take():
+            while not self._inherited and self._take():
                 pass
             self._socket.close()
             self._socket = None
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -71,7 +71,10 @@
         self.journal.catch_up(*self.config.known)
         self.journal.follow(self.config.journal)
         host, port = self.config.listen
-        port = await self.front.door.listen(host, port)
+        if self.config.listen_fd is not None:  # an upgrade: the platform holds the socket, both processes take from it
+            port = self.front.door.adopt(self.config.listen_fd)
+        else:
+            port = await self.front.door.listen(host, port)
         if self.config.management is not None:
             await self._serve_management(self.config.management)
         if self.operator is not None:
@@ -156,6 +159,10 @@
         if not self._leaving:
             self._leaving = self.clock.now()
             self.front.ready = False
+            if self.config.listen_fd is not None:
+                # Another process takes from the same socket: nobody new comes here, who is here is let go of.
+                self.front.door.shut()
+                self.front.quiesce()
             self._look()
 
     def _look(self) -> None:
@@ -163,11 +170,15 @@
         neither must a client that does not read what it is owed."""
         now = self.clock.now()
         over = now - self._leaving - SERVE_ON
-        if over >= 0 and not self.front.refusing:
-            self.front.refusing = True
-            self.front.door.shut()
         longest = max([LONGEST, *(cls.deadline for cls in self.config.settings.classes.values())])
         owed = self.front.open() or self.front.backlog()
+        if self.config.listen_fd is not None:
+            # The door is shut already and the drain sends clients away; a connection that stayed open at the end
+            # would be reset under its next request, so the end waits for all to be closed.
+            owed, over = owed or len(self.front.door.guests), max(over, 0)
+        elif over >= 0 and not self.front.refusing:
+            self.front.refusing = True
+            self.front.door.shut()
         if over >= longest - BEFORE_KILL:
             self.engine.end_all()
             self.done.set()
