--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -33,7 +33,7 @@
             if client is None or client.task.done():
                 client = await w.client()
             tag = client.ask(obj=f"{i:016x}")
-            await until(lambda: tag in client.answers or client.task.done(), "an answer or a close")
+            await until(lambda c=client, t=tag: t in c.answers or c.task.done(), "an answer or a close")
             if tag in client.answers:
                 answers.append(client.answers[tag][0])
                 break
