Keep cordons in $TMPDIR so that a new process of an upgrade holds them

Design: the cordons, and those put back in the last minute with the time they came back, are written whole beside a file in $TMPDIR and renamed over it; each process of the proxy looks at the file's inode, size and time every 200 ms and takes up what the other was told. Not taken: handing the state over a socket between the two processes, since the platform gives no further listener and the new process may start while the old one is busy; a file is what both can reach at any instant.

A damaged file is set aside as .damaged and the log says so and what to do; the proxy serves.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import re
 import signal
@@ -42,36 +43,84 @@
         await asyncio.sleep(0.01)
 
 
+class Second:
+    """The new process of an upgrade: same socket, same folder, an address of its own for operators."""
+
+    async def start(self, w: World) -> Second:
+        self.process = await w.start(LB_MANAGEMENT="127.0.0.1:0", LB_NAME="n0")
+        self.log = b""
+        self.reading = asyncio.ensure_future(self._read())
+        found = await until(lambda: re.search(rb"management: serving on .*:(\d+)", self.log), "the second's address")
+        self.port = int(found[1])
+        while await health(self.port) != 200:
+            await asyncio.sleep(0.02)
+        return self
+
+    async def _read(self) -> None:
+        while line := await self.process.stderr.readline():
+            self.log += line
+
+    async def stop(self) -> None:
+        assert self.process.returncode is None  # only the old process may exit
+        self.process.kill()
+        await self.process.wait()
+        self.reading.cancel()
+
+
+async def call(port: int, path: str, body: bytes) -> int:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"POST {path} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+    raw = await reader.read()
+    writer.close()
+    return int(raw.split(b" ")[1])
+
+
 def test_a_second_process_takes_over_without_a_request_turned_back(tmp_path: Path) -> None:
     async def scene(w: World) -> None:
         answers: list[str] = []
         load = asyncio.ensure_future(steady(w, 150, answers))
         await until(lambda: len(answers) >= 20, "some answers from the first process")
-        second = await w.start(LB_MANAGEMENT="127.0.0.1:0", LB_NAME="n0")
-        log = b""
-
-        async def read() -> None:
-            nonlocal log
-            while line := await second.stderr.readline():
-                log += line
-
-        reading = asyncio.ensure_future(read())
-        found = await until(lambda: re.search(rb"management: serving on .*:(\d+)", log), "the second's address")
-        port = int(found[1])
-        while await health(port) != 200:
-            await asyncio.sleep(0.02)
+        second = await Second().start(w)
         w.process.send_signal(signal.SIGTERM)
         assert await asyncio.wait_for(w.process.wait(), 10) == 0
         await load
         assert answers.count("200") == 150, answers
-        assert second.returncode is None  # only the old process may exit
-        second.kill()
-        await second.wait()
-        reading.cancel()
+        await second.stop()
+
+    play(tmp_path, scene, inherit=True, management=True)
+
+
+def test_a_cordon_holds_in_the_new_process_and_is_undone_there(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        out = w.caches[0]
+        body = json.dumps({"name": out.name}).encode()
+        assert (await w.call("POST", "/admin/cordon", body))[0] == 200
+        second = await Second().start(w)
+        w.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(w.process.wait(), 10) == 0
+        answers: list[str] = []
+        await steady(w, 40, answers)
+        assert answers.count("200") == 40 and not out.asked
+        assert await call(second.port, "/admin/uncordon", body) == 200
+        await steady(w, 80, answers)
+        assert out.asked
+        await second.stop()
 
     play(tmp_path, scene, inherit=True, management=True)
 
 
+def test_a_damaged_file_of_cordons_is_set_aside_and_said(tmp_path: Path) -> None:
+    (tmp_path / "threadhill-cordons.json").write_bytes(b'{"out": ["s-00000001"')
+
+    async def scene(w: World) -> None:
+        await w.logged("cannot be read")
+        assert (tmp_path / "threadhill-cordons.damaged").exists()
+        client = await w.client()
+        assert (await client.get())[0] == "200"
+
+    play(tmp_path, scene, management=True)
+
+
 def test_a_descriptor_that_is_no_socket_is_a_clear_error(tmp_path: Path) -> None:
     async def scene() -> None:
         config = tmp_path / "config.json"
--- a/threadhill/core/cordons.py
+++ b/threadhill/core/cordons.py
@@ -21,8 +21,8 @@
     def __init__(self) -> None:
         self.listed: dict[int, api.Entry] = {}  # the journal's own word on each server
         self.out: dict[int, str] = {}  # number -> name, of those out by hand
-        # Of those put back: the journal's start and the one told instead, until the journal tells another.
-        self.back: dict[int, tuple[int, int]] = {}
+        # Of those put back: the journal's start, the one told instead and the name, until the journal tells another.
+        self.back: dict[int, tuple[int, int, str]] = {}
 
     def screen(self, news: api.ListNews) -> api.ListNews:
         """List news as the module is to see it: who is out by hand drains. The true list is kept."""
@@ -41,7 +41,7 @@
         return replace(news, entries=tuple(self._seen(entry) for entry in news.entries))
 
     def _seen(self, entry: api.Entry) -> api.Entry:
-        told, instead = self.back.get(entry.server, (-1, 0))
+        told, instead, _ = self.back.get(entry.server, (-1, 0, ""))
         if told == entry.since:
             entry = replace(entry, since=instead)
         elif told >= 0:  # the journal knows of a start of its own now
@@ -57,7 +57,7 @@
     def cordon(self, number: int, name: str) -> api.ListNews | None:
         """Take one out; the news for the module, or None where nothing changes for it. A second call changes
         nothing: one call back undoes both."""
-        if number in self.out or len(self.out) >= MOST and number not in self.out:
+        if number in self.out or len(self.out) >= MOST:
             return None
         self.out[number] = name
         entry = self.listed.get(number)
@@ -67,13 +67,17 @@
 
     def uncordon(self, number: int, now: int) -> api.ListNews | None:
         """Put one back: it is told as started now, so that the module takes it for cold."""
-        if self.out.pop(number, None) is None:
+        name = self.out.pop(number, None)
+        if name is None:
             return None
         entry = self.listed.get(number)
         if entry is None or entry.state is not api.State.READY:
             return None
-        self.back[number] = entry.since, now
+        self.back[number] = entry.since, now, name
         return api.ListNews(api.ListKind.CHANGES, (replace(entry, since=now),))
 
-    def names(self) -> list[str]:
-        return sorted(self.out.values())
+    def saved(self, now: int, keep: int) -> dict[str, object]:
+        """What another process on this machine needs to go on from here: who is out, and who was put back less than
+        `keep` ago and so is still cold. Those put back earlier are forgotten: their start is past any ramp."""
+        self.back = {n: back for n, back in self.back.items() if now - back[1] < keep}
+        return {"out": sorted(self.out.values()), "back": {name: at for _, at, name in self.back.values()}}
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -125,9 +125,10 @@
 
     # --- what operators call
 
-    def cordon(self, number: int, name: str) -> bool:
-        """Take a cache server out by hand; False where nobody has it."""
-        if not self.cordons.known(number):
+    def cordon(self, number: int, name: str, told: bool = False) -> bool:
+        """Take a cache server out by hand; False where nobody has it. One that another process was told of stays out
+        whether or not it is listed here yet."""
+        if not told and not self.cordons.known(number):
             return False
         news = self.cordons.cordon(number, name)
         if news is not None:
@@ -135,11 +136,12 @@
             self._listed(news)
         return True
 
-    def uncordon(self, number: int) -> bool:
-        """Put one back that was out by hand; False where nobody has it. One that was not out stays as it is."""
+    def uncordon(self, number: int, at: int | None = None) -> bool:
+        """Put one back that was out by hand, as started `at` (now); False where nobody has it. One that was not out
+        stays as it is."""
         if not self.cordons.known(number):
             return False
-        news = self.cordons.uncordon(number, self.clock.now())
+        news = self.cordons.uncordon(number, self.clock.now() if at is None else at)
         if news is not None:
             self.stats.count("cordon", "back")
             self._listed(news)
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -6,9 +6,11 @@
 import gc
 import os
 import signal
+import tempfile
 import time
 from collections.abc import Mapping
 from dataclasses import replace
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import orjson
@@ -30,6 +32,8 @@
 GARBAGE = 10_000  # objects made, net of those freed, after which the collector looks for cycles
 ADMINS = 16  # connections to the administration API at once
 CALLERS = 32  # connections to the operators' address at once
+CORDONS_LOOK = 200_000  # microseconds between looks whether another process of this proxy was told of cordons
+CORDONS_KEEP = 60_000_000  # microseconds for which one put back is told as cold to a process that starts later
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
 LONGEST = 3_000_000  # microseconds of the longest deadline, where the classes' are shorter
 BEFORE_KILL = 50_000  # microseconds before the longest deadline has passed as well: SIGKILL may come then
@@ -70,13 +74,13 @@
             self.engine.tenants.replace(list(self.operator.tenants))
         self.journal.catch_up(*self.config.known)
         self.journal.follow(self.config.journal)
+        if self.config.management is not None:  # first: what is out by hand must be known before any request
+            await self._serve_management(self.config.management)
         host, port = self.config.listen
         if self.config.listen_fd is not None:  # an upgrade: the platform holds the socket, both processes take from it
             port = self.front.door.adopt(self.config.listen_fd)
         else:
             port = await self.front.door.listen(host, port)
-        if self.config.management is not None:
-            await self._serve_management(self.config.management)
         if self.operator is not None:
             if self.operator.dns is not None:
                 await self._serve_dns(self.operator.dns)
@@ -106,11 +110,30 @@
         log.say(f"admin: serving on {host}:{await door.listen(*config.listen)}")
 
     async def _serve_management(self, where: tuple[str, int]) -> None:
+        from threadhill.admin.cordon_file import CordonFile
         from threadhill.admin.management import management_door
 
+        self.cordon_file = CordonFile(Path(tempfile.gettempdir()), log)
+        self._take_cordons()
         door = management_door(self.engine, self, log, CALLERS)
         log.say(f"management: serving on {where[0]}:{await door.listen(*where)}")
 
+    def _take_cordons(self) -> None:
+        """What another process of this proxy was told: those out by hand, and those put back lately."""
+        if self.cordon_file.changed():
+            saved = self.cordon_file.read()
+            if saved is not None:
+                cordons = self.engine.cordons
+                for number, name in list(cordons.out.items()):
+                    if name not in saved.out:
+                        self.engine.uncordon(number, saved.back.get(name))
+                for name in saved.out:
+                    self.engine.cordon(server_number(name), name, told=True)
+        self.deadlines.add(self.clock.now() + CORDONS_LOOK, self._take_cordons)
+
+    def _keep_cordons(self) -> None:
+        self.cordon_file.write(self.engine.cordons.saved(self.clock.now(), CORDONS_KEEP))
+
     # --- what the operators' address asks
 
     def healthy(self) -> bool:
@@ -122,10 +145,16 @@
         return figures(self.stats, self.config.settings.classes, len(self.engine.requests), *self.engine.rotation())
 
     def cordon(self, name: str) -> bool:
-        return self.engine.cordon(server_number(name), name)
+        done = self.engine.cordon(server_number(name), name)
+        if done:
+            self._keep_cordons()
+        return done
 
     def uncordon(self, name: str) -> bool:
-        return self.engine.uncordon(server_number(name))
+        done = self.engine.uncordon(server_number(name))
+        if done:
+            self._keep_cordons()
+        return done
 
     def quiesce(self) -> None:
         log.say("quiesce: clients are sent away")
