--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -139,3 +139,25 @@
     replies = play([*LINES[:7], '["killed",3]', opened, ask, '["go"]'])
     (refused,) = [reply for reply in replies if reply[:3] == ["push-back", 3, "t/z"]]
     assert 250_000 <= refused[3] <= 500_000
+
+
+@pytest.mark.parametrize(("change", "said"), [
+    ({"n-instances": -3}, "n-instances is -3"),
+    ({"n-instances": 2, "zones": ["a", "b"], "extra": {"crew-by-zone": [1, 3]}}, "3 instances in b, more than"),
+    ({"zones": ["a"], "extra": {"crew-by-zone": [1, 2]}}, "names 2 zones"),
+    ({"zones": ["a"], "extra": {"crew-by-zone": ["x"]}}, "crew-by-zone of a must be a number"),
+    ({"obligations": {"ramp-time": -1}}, "ramp-time is -1"),
+    ({"limits": {"max-attempts": "3"}}, "max-attempts must be a whole number"),
+    ({"profiles": [{"name": "x", "repeat": "read_like", "deadline": -5}]}, "deadline of class x is -5"),
+])
+def test_settings_that_do_not_hold_together_are_refused_by_name(change: dict[str, object], said: str) -> None:
+    with pytest.raises(simhost.Malformed, match=said):
+        simhost.read_settings({"profiles": [{"name": "x", "repeat": "read_like"}]} | change)
+
+
+def test_one_instance_and_forty_divide_nothing_by_zero() -> None:
+    for routers in (0, 1, 40):
+        options = {"profiles": [{"name": "x", "repeat": "read_like"}], "n-instances": routers, "zones": ["a"],
+                   "zone": "a", "extra": {"crew-by-zone": [routers]}}
+        router = simhost.Router(simhost.read_settings(options), 1)
+        assert router.crew == max(1, routers) and 0 < router.room_first < float("inf")
--- a/threadhill/settings.py
+++ b/threadhill/settings.py
@@ -112,8 +112,38 @@
     )
 
 
+# Counts, times and shares that have no meaning below zero, by the name that the settings give them.
+NOT_NEGATIVE = {"routers": "n-instances", "tick": "tick", "ask_within": "ask-within", "answer_slack": "grace-to-answer",
+                "drain_grace": "drain-grace", "cold_from": "start-capacity", "cold_time": "ramp-time",
+                "fall_multiple": "fall-multiple", "fall_window": "fall", "parent_cold_from": "upper-cold-from",
+                "parent_cold_time": "parent-ramp", "parent_fall_multiple": "parent-fall-multiple",
+                "purge_grace": "purge-slack", "purge_done": "purge-takes", "max_advice": "max-retry-after",
+                "max_attempts": "max-attempts", "connect_timeout": "connect-timeout", "flow": "client-kb-per-s"}
+CLASS_NOT_NEGATIVE = {"window": "repeat-window", "aim": "objective", "aim_stretch": "aim-stretch",
+                      "deadline": "deadline", "fresh": "fresh-for", "grace": "stale-for"}
+
+
+def check_settings(settings: api.Settings, told_routers: int) -> None:
+    """Settings that cannot hold together are refused whole, with the name of what is wrong: a proxy must neither start
+    on them nor take them on a reload."""
+    for field, name in NOT_NEGATIVE.items():
+        if getattr(settings, field) < 0:
+            raise Malformed(f"{name} is {getattr(settings, field)}; it cannot be below 0")
+    for cls in settings.classes.values():
+        for field, name in CLASS_NOT_NEGATIVE.items():
+            if getattr(cls, field) < 0:
+                raise Malformed(f"{name} of class {cls.name} is {getattr(cls, field)}; it cannot be below 0")
+    if len(settings.zone_routers) > len(settings.zones):
+        raise Malformed(f"crew-by-zone names {len(settings.zone_routers)} zones, zones only {len(settings.zones)}")
+    for zone, crew in zip(settings.zones, settings.zone_routers, strict=False):
+        if isinstance(crew, bool) or not isinstance(crew, int | float) or crew < 0:
+            raise Malformed(f"crew-by-zone of {zone} must be a number of 0 or more, not {json.dumps(crew)[:60]}")
+        if told_routers and crew > told_routers:
+            raise Malformed(f"crew-by-zone has {crew} instances in {zone}, more than n-instances ({told_routers}) in all")
+
+
 def read_settings(raw: Any) -> api.Settings:
-    """The settings of an instance; keys that are not known are skipped."""
+    """The settings of an instance; keys that are not known are skipped. What does not hold together is refused."""
     raw = mapping(raw, "options")
     extra, limits, rules = (mapping(raw.get(key), key) for key in ("extra", "limits", "obligations"))
     kinds = sequence(raw.get("machine-types"), "machine-types")
@@ -129,14 +159,15 @@
     def named(enum: Any, value: Any, absent: Any) -> Any:
         return absent if value is None else one_of({e.value: e for e in enum}, value, enum.__name__)
 
-    return api.Settings(
+    told_routers = whole(raw.get("n-instances"), "n-instances")
+    settings = api.Settings(
         classes={cls.name: cls for cls in classes},
         zone=raw.get("zone") or "",
         zones=tuple(sequence(raw.get("zones"), "zones")),
         zone_hub=tuple(sequence(extra.get("hub-of"), "hub-of")),
         zone_link=tuple(sequence(extra.get("zone-link-kb-per-s"), "zone-link-kb-per-s")),
         zone_routers=tuple(sequence(extra.get("crew-by-zone"), "crew-by-zone")),
-        routers=max(1, whole(raw.get("n-instances"), "n-instances")),
+        routers=max(1, told_routers) if told_routers >= 0 else told_routers,
         rank=whole(raw.get("rank"), "rank"),
         parent_kind=kind("upper-kind"),
         origin_kind=kind("master-kind"),
@@ -169,3 +200,5 @@
         second_copies=bool(limits.get("second-copies")),
         connect_timeout=whole(limits.get("connect-timeout"), "connect-timeout"),
     )
+    check_settings(settings, told_routers)
+    return settings
