--- a/threadhill/settings.py
+++ b/threadhill/settings.py
@@ -139,7 +139,7 @@
         if isinstance(crew, bool) or not isinstance(crew, int | float) or crew < 0:
             raise Malformed(f"crew-by-zone of {zone} must be a number of 0 or more, not {json.dumps(crew)[:60]}")
         if told_routers and crew > told_routers:
-            raise Malformed(f"crew-by-zone has {crew} instances in {zone}, more than n-instances ({told_routers}) in all")
+            raise Malformed(f"crew-by-zone has {crew} instances in {zone}, more than n-instances ({told_routers})")
 
 
 def read_settings(raw: Any) -> api.Settings:
