Fail what is still open before SIGKILL can come to the old process of an upgrade

Checked: SIGKILL comes 0.7 s after the longest deadline, counted as 3 s where it is longer, so at 3.7 s on this site (clip-parts has 5 s). serve.py took max(3 s, deadlines), so the old process failed what was open only at 5.65 s. In an upgrade requests keep coming on open connections after the first 0.7 s, and what SIGKILL finds of those is lost; on a normal restart nothing is taken after 0.7 s, so that path is left as it was. Ruled out: answers cut off by the quiesce's closes (a connection is closed only with nothing owed, nothing unread and nothing in its buffers).

Change: with an inherited socket the end comes at 0.7 s + min(3 s, longest) - 50 ms at the latest; the log says how the end came. A test with servers that never answer and a 5 s class fails before (no answer by 3.7 s) and passes after.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,6 +8,7 @@
 import re
 import signal
 import sys
+import time
 from pathlib import Path
 
 from tests.test_proxy import play
@@ -134,3 +135,25 @@
             assert process.returncode == 2 and said in error, error
 
     asyncio.run(scene())
+
+
+def test_the_old_process_answers_all_before_sigkill_can_come(tmp_path: Path) -> None:
+    """SIGKILL comes 0.7 s after the longest deadline, counted as 3 s where it is longer (clip-parts has 5 s here); a
+    request that came after the first 0.7 s and is open then would be lost."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None  # nothing is ever answered by the servers
+        client = await w.client()
+        first = client.ask("clip-parts", budget=5000)  # holds the connection open
+        await asyncio.sleep(0.2)
+        w.process.send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        await asyncio.sleep(1.0)
+        tag = client.ask("clip-parts", budget=5000)
+        for one in (first, tag):
+            word, _, _ = await client.answer(one)
+            assert word in ("500", "503") and time.monotonic() - began < 3.7
+        assert await asyncio.wait_for(w.process.wait(), 10) == 0 and time.monotonic() - began < 3.7
+
+    play(tmp_path, scene, inherit=True)
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -36,6 +36,7 @@
 CORDONS_KEEP = 60_000_000  # microseconds for which one put back is told as cold to a process that starts later
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
 LONGEST = 3_000_000  # microseconds of the longest deadline, where the classes' are shorter
+KILL_LONGEST = 3_000_000  # microseconds of the longest deadline as SIGKILL counts it where the classes' are longer
 BEFORE_KILL = 50_000  # microseconds before the longest deadline has passed as well: SIGKILL may come then
 
 log = Log(time.monotonic)
@@ -203,15 +204,22 @@
         owed = self.front.open() or self.front.backlog()
         if self.config.listen_fd is not None:
             # The door is shut already and the drain sends clients away; a connection that stayed open at the end
-            # would be reset under its next request, so the end waits for all to be closed.
+            # would be reset under its next request, so the end waits for all to be closed. Requests keep coming on
+            # open connections after the first 0.7 s here, and what SIGKILL finds of those is lost: what is still
+            # open is failed before it, and SIGKILL counts a longest deadline as 3 s at most.
             owed, over = owed or len(self.front.door.guests), max(over, 0)
+            longest = min(longest, KILL_LONGEST)
         elif over >= 0 and not self.front.refusing:
             self.front.refusing = True
             self.front.door.shut()
         if over >= longest - BEFORE_KILL:
+            log.say(f"leaving: {len(self.engine.requests)} requests still open are failed, "
+                    f"{len(self.front.door.guests)} client connections still open, "
+                    f"{(now - self._leaving) / 1e6:.2f} s after SIGTERM")
             self.engine.end_all()
             self.done.set()
         elif over >= 0 and not owed:
+            log.say(f"leaving: all answered {(now - self._leaving) / 1e6:.2f} s after SIGTERM")
             self.done.set()
         else:
             self.deadlines.add(now + LOOK_AGAIN, self._look)
