Let a hand-over count as the requests it stands for, in room and credit

Requests now carry a weight (1 unless a front says otherwise), and so does the end of the attempt that stands for it. The module charges room and cold credit by the weight, takes a weighted answer only where room is left for it, and at a cold server only where all that it brings fits in half the fall's window at once: credit grown over time must not let 200 clients come together.

With weight 1 nothing changes.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -710,6 +710,33 @@
     assert isinstance(after, api.HandOver) and after.server == 31
 
 
+def test_an_answer_that_brings_many_clients_goes_to_no_cold_cache_and_counts_as_many() -> None:
+    script = Script()
+    for n in range(400):
+        script.serve(f"o{n % 80}")
+        script.wait(25 * MS)
+    script.list([cache(11, since=script.now)])
+    cold = script.router.fleet.servers[11]
+    heavy = []
+    for n in range(80):  # over 8 s: credit that grows must still not let one answer bring 200 clients at once
+        heavy.append(script.ask(f"o{n}", hand_over=True, weight=200.0)[0])
+        script.wait(100 * MS)
+    named = [a for a in heavy if isinstance(a, api.HandOver)]
+    assert named and not any(a.server == 11 for a in named)
+    held = script.router.fleet.servers[named[0].server]
+    assert held.open >= 200
+    script.give(api.AttemptEnded(named[0].id, 0, named[0].server, Outcome.HANDED_OVER, closed=True, weight=200.0))
+    assert held.open == 200 * (sum(a.server == named[0].server for a in named) - 1)
+    light = [script.ask(f"p{n}", hand_over=True)[0] for n in range(200)]
+    assert sum(isinstance(a, api.HandOver) and a.server == 11 for a in light) < 2 * SETTINGS.cold_from * 50
+    # However long credit grows, what one answer brings must fit in the fall's window at once; one request must not.
+    router, unit = script.router, script.router.work.most / 100
+    cold.credit_at = router.now - 10**5 * SECOND
+    assert router.in_budget(cold, unit)
+    cold.credit_at = router.now - 10**5 * SECOND
+    assert not router.in_budget(cold, 10_000 * unit, 10_000.0)
+
+
 def test_never_all_caches_are_ejected() -> None:
     script = Script(replace(SETTINGS, direct=False))
     for n in range(200):
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -42,6 +42,7 @@
     server: int
     at: int
     timer: tuple[int, int] | None = None
+    weight: float = 1.0  # requests that it stands for
 
 
 class Engine:
@@ -80,7 +81,7 @@
             self._finish(handle, Answer(Final.REFUSED, come_back=wait))
             return handle
         self._take(api.Request(str(handle), ask.cls, ask.object, ask.left, ask.size, ask.group, ask.part,
-                               ask.repeat, tenant=ask.tenant, hand_over=ask.hand_over))
+                               ask.repeat, tenant=ask.tenant, hand_over=ask.hand_over, weight=ask.weight))
         return handle
 
     def gone(self, handle: int) -> None:
@@ -117,7 +118,7 @@
         self.stats.count("attempt", end.outcome.value)
         took = self.clock.now() - attempt.at
         self._take(api.AttemptEnded(str(attempt.request), attempt.number, attempt.server, end.outcome, took,
-                                    closed, load=end.load))
+                                    closed, load=end.load, weight=attempt.weight))
 
     def listed(self, news: api.ListNews) -> None:
         """The list changed. The module knows before anything that waits is sent on, or given back to it."""
@@ -254,7 +255,7 @@
         request = self.requests.get(handle)
         if request is None:
             return
-        attempt = self.attempts.add(Attempt(handle, request.sent, server, now))
+        attempt = self.attempts.add(Attempt(handle, request.sent, server, now, weight=request.ask.weight))
         due = now + max(1, hold)
         self.deadlines.add(due, lambda: self.ended(attempt, Ended(api.Outcome.HANDED_OVER)))
         self._finish(handle, Answer(Final.SERVED, server=server))
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -34,6 +34,7 @@
     seen: str | None = None  # the tag of the client's own copy
     body: bytes = b""
     hand_over: bool = False  # the client is to be told a server, and goes there itself
+    weight: float = 1.0  # of one handed over: how many requests the answer is likely to bring
 
 
 @dataclass(slots=True)
--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -132,10 +132,10 @@
         elif timer.token == "list":
             self.actions.append(api.FollowList(True))
 
-    def in_budget(self, server: Server, work: float) -> bool:
-        """Guard 2: a cold server gets less than this router's fair share of what pushes it over, by the most
-        that its peers served for it (parents: filled), which an outage does not shrink. It comes as credit
-        from a random start: with many routers a request outweighs a share, and some of them must send it."""
+    def in_budget(self, server: Server, work: float, weight: float = 1.0) -> bool:
+        """Guard 2: a cold server gets less than this router's fair share of what pushes it over, by the most that its
+        peers served for it (parents: filled). It comes as credit from a random start: with many routers a request
+        outweighs a share, and some must send it; an answer that brings many clients (weight) must fit in the fall."""
         parent = server.entry.kind == self.set.parent_kind
         low, ramp, multiple = self.set.cold_rule(parent)
         age = self.now - server.entry.since
@@ -143,10 +143,10 @@
             return True
         share = COLD_SAFETY * multiple * (low + (1 - low) * max(0, age) / ramp)
         share *= self.fills.most / self.fleet.most_parents if parent else self.work.most / self.fleet.most_caches
-        most = max(work, share * self.set.fall_window / SECOND / 2)
+        most = max(work / weight, share * self.set.fall_window / SECOND / 2)
         return server.earn(self.now, share / SECOND, most, self.random.random() * work) >= work
 
-    def fit(self, servers: list[Server], work: float) -> list[Server]:
+    def fit(self, servers: list[Server], work: float, weight: float = 1.0) -> list[Server]:
         """Guards 1 to 3: those that may be chosen; if all look ill the fault lies elsewhere, so none is."""
         silence = max(SILENT, SILENT_TIMES * self.usual_took.value)
         for s in servers:
@@ -154,7 +154,7 @@
             if s.unheard >= SILENT_SENDS and self.now - s.unheard_since > silence:
                 self.eject(s, silent=True)
         well = [s for s in servers if self.now >= s.ejected_until] or servers
-        return [s for s in well if self.in_budget(s, work)]
+        return [s for s in well if self.in_budget(s, work * weight, weight)]
 
     def in_time_chance(self, job: Job, server: Server) -> float:
         """How likely a server that answers as slowly as lately may be chosen. One draw a request for all: a
@@ -202,7 +202,7 @@
         job.held_only = False
         ready = [s for s in self.fleet.in_order(job.ask.object, self.fleet.caches) if self.in_scope(job, s)]
         draw, part = self.random.random(), self.random.random()
-        fit, source = self.fit(ready, job.work), self.source(job)
+        fit, source = self.fit(ready, job.work, job.ask.weight), self.source(job)
         if job.ask.hand_over:  # nothing comes back of it, so it is no trial of one that was ejected
             fit = [s for s in fit if not s.ejections]
             source = source if source is None or not source.ejections else None
@@ -212,7 +212,7 @@
             return (source, behind) if may else None
         # Guard 8: full caches refuse. Sending past them would only move the crowd to link and origin.
         quick = [s for s in fit if draw < self.in_time_chance(job, s)]
-        usable = [s for s in quick if s.open + part < s.room]
+        usable = [s for s in quick if s.open + part * job.ask.weight < s.room]
         if not usable and not job.ask.hand_over:
             # What fills the rooms may be waiting for a slow origin. What is held needs none of that: only a look.
             usable, source = [s for s in quick if s.open + part < LOOKS * s.room], None
@@ -293,8 +293,8 @@
         """Take credit and room for what is sent there; the servers that it is work for."""
         asked = [server] if source is server else [server, source]
         for one in asked:
-            one.credit -= job.work
-        server.open += 1
+            one.credit -= job.work * job.ask.weight
+        server.open += job.ask.weight
         return asked
 
     def attempt(self, job: Job) -> None:
@@ -372,7 +372,7 @@
                 weight = min(1.0, (self.now - self.link_heard) / LINK_MEMORY)  # any of them tells of the link
                 self.link += weight * (end.load["link"] - self.link)
                 self.link_heard = self.now
-            server.open = max(0, server.open - 1)
+            server.open = max(0, server.open - end.weight)
             server.hits = end.load.get("hits", server.hits)
             if end.outcome not in UNHEARD:
                 server.unheard = 0
--- a/threadhill/decision/interface.py
+++ b/threadhill/decision/interface.py
@@ -226,6 +226,7 @@
     write: bool = False
     tenant: str | None = None
     hand_over: bool = False  # the client goes to the server itself: it is told one, at once, or refused
+    weight: float = 1.0  # requests that it stands for: an answer to a resolver may bring many clients
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,6 +252,7 @@
     note: Note = Note.NONE
     waited: int = 0
     load: dict[str, float] = field(default_factory=dict)
+    weight: float = 1.0  # as its request's
 
 
 @dataclass(frozen=True, slots=True)
--- a/threadhill/decision/state.py
+++ b/threadhill/decision/state.py
@@ -21,7 +21,7 @@
     doubt: float = 0.0  # logarithm of the odds that it is ill
     ejected_until: int = 0
     ejections: int = 0
-    open: int = 0  # attempts out
+    open: float = 0  # attempts out; a hand-over counts as many as it stands for
     fills: int = 0  # attempts out at others that may ask this one for a fill
     fill_room: float = math.inf  # how many of them there may be
     hits: float = 0.7  # its share of hits by its last report; most requests are hits where it tells nothing
