Charge each DNS answer by what its resolver's answers bring, learnt from servers' reports

Not taken: a fixed count (what stood: 200 clients behind one resolver came as one request), TTL-based charging (all TTLs are 0), the rate of questions alone (a quiet resolver looks like a holding one).

`threadhill dns resolvers` and GET /v1/dns/resolvers show them.

--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import struct
 import time
@@ -316,3 +317,51 @@
             writer.close()
 
     play(tmp_path, scene)
+
+
+def test_answers_are_charged_by_what_the_servers_say_they_brought(tmp_path: Path) -> None:
+    """Servers report far more in hand than this proxy sent them: what is over is put down to the resolver whose
+    answers named them, and `dns resolvers` shows what each answer of it is charged now."""
+    operator = OPERATOR + '\n[admin]\nlisten = "127.0.0.1:0"\ntoken_env = "TOKEN"\n'
+
+    async def scene(w: World, resolver: Resolver) -> None:
+        for box in w.caches:
+            box.behave = lambda ask: ("ok", "ver=v1,born=1764576000000,report=inflight:60;util:0.5", b"x")
+        client = await w.client()
+        for i in range(30):
+            assert (await resolver.ask(f"0.{i:016x}.art-pages.acme.route.example")).code == NOERROR
+            await client.get("art-pages", obj=f"{i:016x}")
+        port = await w.listens("admin")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(f"GET /v1/dns/resolvers HTTP/1.1\r\nAuthorization: Bearer {'t' * 20}\r\n"
+                     "Connection: close\r\n\r\n".encode())
+        raw = await reader.read()
+        writer.close()
+        assert b" 200 " in raw.split(b"\r\n")[0], raw[:300]
+        rows = json.loads(raw.partition(b"\r\n\r\n")[2])["resolvers"]
+        (mine,) = [row for row in rows if row["resolver"] == "127.0.0.0/24"]
+        # 60 in hand, one of them its own, over the answers of the last second that named it: from 1 to some
+        assert mine["class"] == "art-pages" and mine["weight"] > 2 and mine["asked"] == 30, rows
+
+    play(tmp_path, scene, operator)
+
+
+def test_a_resolver_that_keeps_answers_is_sent_to_the_fallback_name(tmp_path: Path) -> None:
+    """Load stays at the servers when no answer has named them for over a second: the resolver that was answered last
+    keeps answers of TTL 0, and is sent to the operator's name that does not drain."""
+    operator = OPERATOR.replace('deadline_ms = 400', 'deadline_ms = 400\nfallback = "steady.example.net"')
+
+    async def scene(w: World, resolver: Resolver) -> None:
+        first = await resolver.ask()
+        assert first.code == NOERROR and first.addresses
+        await asyncio.sleep(1.2)
+        for box in w.caches:
+            box.behave = lambda ask: ("ok", "ver=v1,born=1764576000000,report=inflight:30;util:0.5", b"x")
+        client = await w.client()
+        for i in range(20):
+            await client.get("art-pages", obj=f"{i:016x}")
+        later = await resolver.ask()
+        assert later.code == NOERROR and [kind for kind, _, _ in later.sections[0]] == [5]
+        assert name_of("steady.example.net") in later.raw
+
+    play(tmp_path, scene, operator)
--- a/threadhill/admin/api.py
+++ b/threadhill/admin/api.py
@@ -7,6 +7,7 @@
     PUT    /v1/tenants/NAME     make or replace one; If-Match holds the state version it was planned on
     DELETE /v1/tenants/NAME     remove one
     GET    /v1/stats            the counters
+    GET    /v1/dns/resolvers    what each resolver's answers are charged, and which of them keep answers of TTL 0
 """
 
 from __future__ import annotations
@@ -23,8 +24,9 @@
 class Api:
     """Answers calls. Each one checks all that it is given before it changes anything."""
 
-    def __init__(self, tenants: Tenants, stats: Stats, changed: Callable[[], None]) -> None:
-        self.tenants, self.stats, self._changed = tenants, stats, changed
+    def __init__(self, tenants: Tenants, stats: Stats, changed: Callable[[], None],
+                 resolvers: Callable[[], list[dict[str, Any]]] | None = None) -> None:
+        self.tenants, self.stats, self._changed, self._resolvers = tenants, stats, changed, resolvers
 
     def __call__(self, call: Call) -> tuple[int, Any]:
         self.stats.count("admin", call.method)
@@ -32,7 +34,8 @@
         if path[0] != "v1":
             raise Problem(404, "not-found", "paths begin with /v1")
         routes = {("state",): {"GET": self._state}, ("stats",): {"GET": self._stats},
-                  ("apply",): {"POST": self._apply}, ("tenants",): {"GET": self._list}}
+                  ("apply",): {"POST": self._apply}, ("tenants",): {"GET": self._list},
+                  ("dns", "resolvers"): {"GET": self._dns_resolvers}}
         if len(path) == 3 and path[1] == "tenants":
             methods = {"GET": self._get, "PUT": self._put, "DELETE": self._delete}
         else:
@@ -57,6 +60,11 @@
     def _stats(self, call: Call) -> tuple[int, Any]:
         return 200, self.stats.table()
 
+    def _dns_resolvers(self, call: Call, *_: str) -> tuple[int, Any]:
+        if self._resolvers is None:
+            raise Problem(404, "no-dns", "this proxy has no DNS front")
+        return 200, {"resolvers": self._resolvers()}
+
     def _list(self, call: Call) -> tuple[int, Any]:
         return 200, {"tenants": [write_tenant(t) for t in self._all()]}
 
--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -20,6 +20,8 @@
                   help="A steering proxy for caches that fill from parents and an origin, and its control plane.")
 state_app = typer.Typer(no_args_is_help=True, help="Snapshots of a control plane's store.")
 app.add_typer(state_app, name="state")
+dns_app = typer.Typer(no_args_is_help=True, help="A proxy's DNS front.")
+app.add_typer(dns_app, name="dns")
 
 Address = Annotated[str, typer.Option("--admin", envvar="THREADHILL_ADMIN", help="host:port of a proxy's API")]
 Token = Annotated[str, typer.Option("--token", envvar="THREADHILL_TOKEN", help="the bearer token")]
@@ -90,6 +92,23 @@
     _out(_tenants(lambda client: client.call(admin, token, "GET", "/v1/stats")))
 
 
+@dns_app.command("resolvers")
+def dns_resolvers(admin: Address, token: Token, json: Json = False) -> None:
+    """What a proxy charges each resolver's answers, in requests an answer, and which resolvers keep answers of TTL 0
+    (those are sent to no cold server, or to the operator's fallback name).
+
+    Example: threadhill dns resolvers --admin 127.0.0.1:7400
+    """
+    rows = _tenants(lambda client: client.call(admin, token, "GET", "/v1/dns/resolvers"))["resolvers"]
+    if json:
+        _out(rows)
+        return
+    typer.echo(f"{'resolver':<22} {'class':<14} {'weight':>7} {'holds':>5} {'asked':>7} {'heard':>9}")
+    for row in rows:
+        typer.echo(f"{row['resolver']:<22} {row['class']:<14} {row['weight']:>7} {'yes' if row['holds'] else '':>5} "
+                   f"{row['asked']:>7} {row['heard_ms_ago']:>6} ms")
+
+
 @app.command()
 def validate(path: Annotated[Path, typer.Argument(help="an HCL file, or a folder of them")], var: Vars = [],  # noqa: B006
              var_file: VarFiles = [], json: Json = False) -> None:  # noqa: B006
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -43,6 +43,7 @@
     at: int
     timer: tuple[int, int] | None = None
     weight: float = 1.0  # requests that it stands for
+    handed: bool = False  # a client was sent there: nothing of it is this proxy's own
 
 
 class Engine:
@@ -59,6 +60,9 @@
         self.caches: Caches | None = None
         self._events: deque[api.Event] = deque()
         self._busy = False
+        self.own: Counter[int] = Counter()  # attempts of this proxy's own out at each server
+        # Told of each server's report of what it has in hand beyond this proxy's own attempts there.
+        self.watchers: list[Callable[[int, float], None]] = []
 
     def start(self, caches: Caches) -> None:
         self.caches = caches
@@ -116,6 +120,14 @@
                 closed = True
                 self._finish(attempt.request, Answer(Final.SERVED, end.body, end.tag, end.same))
         self.stats.count("attempt", end.outcome.value)
+        if not attempt.handed:
+            inflight = end.load.get("inflight")
+            if inflight is not None:
+                for watcher in self.watchers:
+                    watcher(attempt.server, max(0.0, inflight - self.own[attempt.server]))
+            self.own[attempt.server] -= 1
+            if self.own[attempt.server] <= 0:
+                del self.own[attempt.server]
         took = self.clock.now() - attempt.at
         self._take(api.AttemptEnded(str(attempt.request), attempt.number, attempt.server, end.outcome, took,
                                     closed, load=end.load, weight=attempt.weight))
@@ -241,6 +253,7 @@
             return
         now = self.clock.now()
         attempt = self.attempts.add(Attempt(handle, request.sent, server, now))
+        self.own[server] += 1
         request.sent += 1
         request.out.append(attempt)
         if limit:
@@ -255,7 +268,8 @@
         request = self.requests.get(handle)
         if request is None:
             return
-        attempt = self.attempts.add(Attempt(handle, request.sent, server, now, weight=request.ask.weight))
+        attempt = self.attempts.add(Attempt(handle, request.sent, server, now, weight=request.ask.weight,
+                                            handed=True))
         due = now + max(1, hold)
         self.deadlines.add(due, lambda: self.ended(attempt, Ended(api.Outcome.HANDED_OVER)))
         self._finish(handle, Answer(Final.SERVED, server=server))
--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -11,6 +11,7 @@
 from threadhill.core.slots import Slots
 from threadhill.dns import message as dns
 from threadhill.dns import records
+from threadhill.dns.charging import Charging, resolver_key
 from threadhill.dns.message import Code, Query, Record, Response, Type
 from threadhill.dns.names import Kind, Place, place, zone_of
 from threadhill.dns.options import Extended
@@ -34,6 +35,7 @@
     nameservers: tuple[str, ...] = ()
     connections: int = 64
     nsid: bytes = b""  # who answered, for those who ask (RFC 5001)
+    fallback: str = ""  # where resolvers that keep answers of TTL 0 are sent instead of to a server, by CNAME
 
 
 @dataclass(slots=True)
@@ -44,6 +46,7 @@
     place: Place
     stream: bool  # it came over a connection
     reply: Reply
+    resolver: str = ""  # whose clients it is for: the client subnet told, else the resolver's network
     handle: int = -1
 
 
@@ -57,11 +60,13 @@
         self.pending: Slots[Pending] = Slots()
         self._grants: dict[tuple[str, int], tuple[int, int]] = {}  # (box, number) -> (server, until when)
         self._granted = 0
+        self.charging = Charging()
+        engine.watchers.append(lambda server, brought: self.charging.reported(server, brought, engine.clock.now()))
 
     # --- queries
 
-    def take(self, raw: bytes, reply: Reply, stream: bool) -> int | None:
-        """One message from a resolver. Returns what `forget` takes, if its answer is still to come."""
+    def take(self, raw: bytes, reply: Reply, stream: bool, peer: str = "") -> int | None:
+        """One message from a resolver at `peer`. Returns what `forget` takes, if its answer is still to come."""
         try:
             query = dns.read_query(raw)
         except dns.Ignored:
@@ -78,7 +83,9 @@
             return None
         at = place(query.name, zone, self.engine.tenants, self.classes)
         if at.kind in (Kind.TARGET, Kind.SERVICE) and self._steers(query, at):
-            return self._ask(Pending(query, at, stream, reply))
+            subnet = query.options.subnet
+            told = (subnet.family, subnet.source, subnet.address) if subnet is not None else None
+            return self._ask(Pending(query, at, stream, reply, resolver_key(peer, told)))
         self._reply(query, self._plain(query, at), reply, stream)
         return None
 
@@ -97,10 +104,17 @@
         return at.kind is Kind.TARGET and family is not None and (family in there or not there)
 
     def _ask(self, pending: Pending) -> int | None:
-        at = pending.place
+        at, now = pending.place, self.engine.clock.now()
+        if self.config.fallback and self.charging.holds(pending.resolver, at.cls, now):
+            # It keeps what it is told past any drain: only a name of the operator's that does not drain will do.
+            self.engine.stats.count("dns", "fallback")
+            fallback = Record(Type.CNAME, (labels_of(self.config.fallback),))
+            self._reply(pending.query, Response(answers=[fallback]), pending.reply, pending.stream)
+            return None
+        weight = self.charging.weight(pending.resolver, at.cls, now)
         ref = self.pending.add(pending)
         handle = self.engine.ask(self, ref, Ask(os.urandom(8).hex(), at.cls, at.object, self.config.deadline,
-                                                at.part, tenant=at.tenant, hand_over=True))
+                                                at.part, tenant=at.tenant, hand_over=True, weight=weight))
         if self.pending.get(ref) is None:
             return None
         pending.handle = handle
@@ -113,6 +127,7 @@
             return
         where = self.where(answer.server) if answer.final is Final.SERVED else None
         if where is not None:
+            self.charging.answered(pending.resolver, pending.place.cls, answer.server, self.engine.clock.now())
             response = self._named(pending, answer.server, where)
         elif answer.final is Final.REFUSED:
             wait = f"; come back in {-(-answer.come_back // 1_000)} ms" if answer.come_back else ""
--- a/threadhill/dns/message.py
+++ b/threadhill/dns/message.py
@@ -25,6 +25,7 @@
 class Type(IntEnum):
     A = 1
     NS = 2
+    CNAME = 5
     SOA = 6
     HINFO = 13
     AAAA = 28
--- a/threadhill/dns/transport.py
+++ b/threadhill/dns/transport.py
@@ -27,7 +27,7 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, peer: Any) -> None:
-        self.front.take(data, lambda response: self.transport.sendto(response, peer), stream=False)
+        self.front.take(data, lambda response: self.transport.sendto(response, peer), stream=False, peer=peer[0])
 
     def error_received(self, error: Exception) -> None:
         """A resolver that is no longer there: it asks again or does not."""
@@ -78,7 +78,8 @@
                 self.abort()
             self._throttle()
 
-        ref = self.front.take(raw, reply, stream=True)
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        ref = self.front.take(raw, reply, stream=True, peer=peer[0] if peer else "")
         if ref is not None:
             refs.append(ref)
             self.open.add(ref)
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -47,7 +47,7 @@
     """The operator's file; a key that is not known is a fault, as it would else be silently without effect."""
     for unknown in sorted(set(raw) - {"dns", "admin", "tenants"}):
         raise Malformed(f"{unknown}: no such key")
-    dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid"})
+    dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback"})
     admin = _table(raw, "admin", {"listen", "token_file", "token_env"})
     try:
         tenants = tuple(read_tenants(raw.get("tenants", [])))
@@ -68,7 +68,10 @@
         raise Malformed("dns.nsid: has over 128 bytes")
     if not 0 < deadline <= 60_000 or not 0 < connections <= 1_024:
         raise Malformed("dns: deadline_ms or connections is out of range")
-    return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections, nsid)
+    fallback = text(raw.get("fallback", ""), "dns.fallback")
+    if fallback:
+        labels_of(fallback)
+    return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections, nsid, fallback)
 
 
 def _read_admin(raw: dict[str, Any], environ: Mapping[str, str], base: Path) -> AdminConfig:
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -25,7 +25,7 @@
 from threadhill.net.turns import Turns
 
 if TYPE_CHECKING:  # each is imported where the operator's file turns it on: the platform's memory is small
-    from threadhill.dns.front import DnsConfig
+    from threadhill.dns.front import DnsConfig, DnsFront
     from threadhill.operators import AdminConfig, Operator
 
 SERVE_ON = 700_000  # microseconds after SIGTERM in which requests still come and are taken
@@ -55,6 +55,7 @@
         self.front = Platform(self.engine, config.settings.classes, config.clients, config.outbound,
                               self.loop.call_soon, log)
         self.done = asyncio.Event()
+        self.dns: DnsFront | None = None
         self._leaving = 0  # when SIGTERM came
 
     def _limits(self, config: Config) -> Limits:
@@ -99,13 +100,17 @@
 
         front = DnsFront(self.engine, config, frozenset(self.config.settings.classes), self.caches.where,
                          self.caches.families)
+        self.dns = front
         log.say(f"dns: serving on {await DnsServer(front, log).listen()}")
 
     async def _serve_admin(self, config: AdminConfig) -> None:
         from threadhill.admin.api import Api
         from threadhill.admin.http import HttpConnection
 
-        api = Api(self.engine.tenants, self.stats, lambda: log(f"tenants: version {self.engine.tenants.version}"))
+        dns = self.dns
+        resolvers = (lambda: dns.charging.resolvers(self.clock.now())) if dns is not None else None
+        api = Api(self.engine.tenants, self.stats, lambda: log(f"tenants: version {self.engine.tenants.version}"),
+                  resolvers)
         door = Door(self.engine, "admin client", ADMINS, lambda door: HttpConnection(config.token, api, door), log)
         host = config.listen[0]
         log.say(f"admin: serving on {host}:{await door.listen(*config.listen)}")
