Meet DNS floods: cookies, response rates by network with slip, budgets, 1.5 times at most

Design: an address is proven by TCP, by a server cookie made for it here (RFC 7873, made as RFC 9018 has it, SipHash-2-4 under a secret drawn at start), or by the operator's `trusted` networks. Over UDP an unproven network gets 100 responses a second (every second one over is truncated, the rest dropped), no response over 1.5 times its query, and a steered SRV, SVCB or HTTPS query is told to come over TCP before anything is charged for it. Each resolver's queries reach the module at 500 a second at most; past that SERVFAIL with the reason. Not taken: limits by name, as BIND's rate limiting keys them: made-up names differ each time, so only the network bounds a flood.

--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -18,6 +18,7 @@
 listen = "127.0.0.1:0"
 deadline_ms = 400
 nameservers = ["ns1.route.example"]
+trusted = ["127.0.0.1/32"]
 
 [[tenants]]
 name = "acme"
--- /dev/null
+++ b/tests/test_dns_limits.py
@@ -0,0 +1,143 @@
+"""Cookies and the limits that floods meet: by themselves, and through the running program."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import struct
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.test_dns import NAME, NOERROR, OPERATOR, SRV, Reply, Resolver, play, query
+from tests.world import World, until
+from threadhill.dns import limits
+from threadhill.dns.cookies import Cookies, Verdict, siphash24
+from threadhill.dns.limits import Limits, Send
+
+UNTRUSTED = OPERATOR.replace('trusted = ["127.0.0.1/32"]\n', "")
+SECRET = bytes(range(16))
+
+
+def test_siphash_gives_the_reference_values() -> None:
+    """The vectors of the SipHash paper, key 00..0f and messages 00..(n-1)."""
+    assert siphash24(SECRET, b"").hex() == "310e0edd47db6f72"
+    assert siphash24(SECRET, bytes(range(8))).hex() == "6224939a79f5f593"
+    assert siphash24(SECRET, bytes(range(15))).hex() == "e545be4961ca29a1"
+
+
+def test_a_server_cookie_proves_only_the_address_it_was_made_for_and_only_for_a_while() -> None:
+    cookies, client, now = Cookies(SECRET), b"\x01" * 8, 1_764_576_000
+    made = cookies.answer(client, "192.0.2.7", now)
+    assert len(made) == 24 and made[:8] == client
+    assert cookies.check(made, "192.0.2.7", now + 10) is Verdict.GOOD
+    assert cookies.check(made, "192.0.2.8", now + 10) is Verdict.BAD
+    assert cookies.check(made, "192.0.2.7", now + 4_000) is Verdict.BAD
+    assert Cookies(bytes(16)).check(made, "192.0.2.7", now) is Verdict.BAD
+    assert cookies.check(client, "192.0.2.7", now) is Verdict.CLIENT_ONLY
+    assert cookies.check(None, "192.0.2.7", now) is Verdict.NONE
+    assert cookies.answer(made, "192.0.2.7", now + 100) == made  # young enough: the same
+    assert cookies.answer(made, "192.0.2.7", now + 2_000) != made  # renewed
+    assert cookies.check(made[:8] + b"\x02" + made[9:], "192.0.2.7", now) is Verdict.BAD
+
+
+def test_a_network_past_its_rate_is_dropped_with_every_second_one_truncated() -> None:
+    gate, now = Limits(responses=10, slip=2), 0
+    sent = [gate.response("198.51.100.0/24", False, now) for _ in range(40)]
+    assert sent[:20] == [Send.ANSWER] * 20  # its burst
+    assert sent[20:] == [Send.DROP, Send.SLIP] * 10
+    assert gate.response("198.51.100.0/24", True, now) is Send.ANSWER  # a cookie of ours
+    assert gate.response("203.0.113.0/24", False, now) is Send.ANSWER  # another network
+    assert gate.response("198.51.100.0/24", False, now + 1_000_000) is Send.ANSWER  # a second later
+
+
+def test_the_buckets_are_bounded_and_a_rate_of_0_is_no_limit() -> None:
+    gate = Limits(responses=5, resolver_queries=5)
+    for n in range(3 * limits.KEYS):
+        gate.response(f"n{n}", False, n)
+        gate.may_ask(f"n{n}", n)
+    assert len(gate.responses.buckets) == len(gate.queries.buckets) == limits.KEYS
+    free = Limits(responses=0, resolver_queries=0)
+    assert all(free.response("x", False, 0) is Send.ANSWER and free.may_ask("x", 0) for _ in range(1_000))
+    assert limits.most_bytes(60, False, 1_232) == 90 and limits.most_bytes(60, True, 1_232) == 1_232
+
+
+def cookie(data: bytes) -> bytes:
+    """An OPT with a cookie option."""
+    return b"\0" + struct.pack("!HHBBHH", 41, 1_232, 0, 0, 0x8000, 4 + len(data)) + struct.pack("!HH", 10, len(data)) \
+        + data
+
+
+def server_cookie(reply: Reply) -> bytes:
+    at = reply.raw.index(b"\x00\x0a\x00\x18") + 4  # the cookie option, client and server cookie
+    return reply.raw[at : at + 24]
+
+
+def test_an_unproven_address_gets_no_more_than_half_as_much_again_until_it_brings_a_cookie(tmp_path: Path) -> None:
+    async def scene(w: World, r: Resolver) -> None:
+        raw = query("_http._tcp." + NAME, SRV, more=cookie(b"\x05" * 8), extra=1)
+        first = await r.send(raw)
+        assert first.flags & 0x0200 and not first.sections[0] and len(first.raw) <= 1.5 * len(raw)
+        proof = server_cookie(first)
+        again = query("_http._tcp." + NAME, SRV, more=cookie(proof), extra=1)
+        full = await r.send(again)
+        assert full.code == NOERROR and not full.flags & 0x0200 and full.sections[0][0][0] == SRV
+        small = await r.send(query(NAME))  # a bare A answer fits
+        assert small.code == NOERROR and small.addresses and len(small.raw) <= 1.5 * len(query(NAME))
+        for _ in range(3):  # a forged server cookie proves nothing
+            forged = await r.send(query("_http._tcp." + NAME, SRV, more=cookie(proof[:-1] + b"\0"), extra=1))
+            assert forged.flags & 0x0200
+
+    play(tmp_path, scene, UNTRUSTED)
+
+
+def test_floods_of_made_up_names_and_of_cookieless_senders_leave_good_resolvers_served(tmp_path: Path) -> None:
+    """Good resolvers bring cookies; a flood twenty times their rate of made-up names comes from other addresses of
+    the same network without any, and another asks from one resolver more than its share."""
+    operator = UNTRUSTED.replace("deadline_ms = 400", "deadline_ms = 400\nresponses_per_s = 50\nresolver_qps = 100")
+
+    async def scene(w: World, good: Resolver) -> None:
+        port = good.port
+        handshake = await good.send(query(NAME, more=cookie(b"\x07" * 8), extra=1))
+        proof = server_cookie(handshake)
+        loop = asyncio.get_running_loop()
+        flooders = [await loop.create_datagram_endpoint(asyncio.DatagramProtocol, local_addr=(f"127.0.0.{n}", 0),
+                                                        remote_addr=("127.0.0.1", port)) for n in (2, 3, 4)]
+        stop = time.monotonic() + 3
+        answered = asked = 0
+
+        async def flood() -> None:
+            while time.monotonic() < stop:
+                for transport, _ in flooders:
+                    made_up = f"0.{os.urandom(8).hex()}.art-pages.acme.route.example"
+                    transport.sendto(query(made_up, id=9))
+                await asyncio.sleep(0.005)
+
+        flooding = asyncio.ensure_future(flood())
+        while time.monotonic() < stop:
+            asked += 1
+            began = time.monotonic()
+            reply = await good.send(query(f"0.{asked:016x}.art-pages.acme.route.example", more=cookie(proof),
+                                          extra=1))
+            answered += reply.code == NOERROR and bool(reply.addresses) and time.monotonic() - began < 0.4
+            await asyncio.sleep(0.05)
+        await flooding
+        for transport, _ in flooders:
+            transport.close()
+        assert answered >= 0.99 * asked and asked > 20
+        await until(lambda: w.counted("dns", "rate limited, drop") > 0, "the flood dropped")
+
+    play(tmp_path, scene, operator)
+
+
+@pytest.mark.parametrize("bad", ["responses_per_s = -1", 'trusted = ["not a network"]'])
+def test_limits_that_cannot_be_used_stop_the_start(tmp_path: Path, bad: str) -> None:
+    import tomllib
+
+    from threadhill.operators import read_operator
+    from threadhill.settings import Malformed
+
+    raw = tomllib.loads(UNTRUSTED.replace("deadline_ms = 400", f"deadline_ms = 400\n{bad}"))
+    with pytest.raises(Malformed, match="dns"):
+        read_operator(raw, {}, tmp_path)
--- /dev/null
+++ b/threadhill/dns/cookies.py
@@ -0,0 +1,110 @@
+"""DNS cookies (RFC 7873), server cookies as RFC 9018 makes them: version, reserved, time, and SipHash-2-4 of the
+client cookie, those and the client's address under a secret. A query that brings back a cookie made here for its
+address proves that address: it is no spoofed one, and limits for unproven peers don't bind it.
+
+No I/O: the secret and the time are given.
+"""
+
+from __future__ import annotations
+
+import hmac
+import ipaddress
+import struct
+from enum import Enum
+
+VERSION = 1
+CLIENT = 8  # bytes of a client cookie
+SERVER = 16  # bytes of a server cookie made here
+LIFE = 3_600  # seconds for which a server cookie is good (RFC 9018, section 4.3)
+AHEAD = 300  # seconds that its time may be ahead of ours: clocks of a cluster differ
+RENEW = 1_800  # seconds after which a good one is replaced by a new one
+MASK = (1 << 64) - 1
+
+
+def _rotate(value: int, bits: int) -> int:
+    return (value << bits | value >> (64 - bits)) & MASK
+
+
+def siphash24(key: bytes, data: bytes) -> bytes:
+    """SipHash-2-4 (Aumasson and Bernstein, 2012) of `data` under a 16-byte key, as 8 bytes, little-endian."""
+    k0, k1 = struct.unpack("<QQ", key)
+    v = [k0 ^ 0x736F6D6570736575, k1 ^ 0x646F72616E646F6D, k0 ^ 0x6C7967656E657261, k1 ^ 0x7465646279746573]
+
+    def rounds(count: int) -> None:
+        for _ in range(count):
+            v[0] = (v[0] + v[1]) & MASK
+            v[1] = _rotate(v[1], 13) ^ v[0]
+            v[0] = _rotate(v[0], 32)
+            v[2] = (v[2] + v[3]) & MASK
+            v[3] = _rotate(v[3], 16) ^ v[2]
+            v[0] = (v[0] + v[3]) & MASK
+            v[3] = _rotate(v[3], 21) ^ v[0]
+            v[2] = (v[2] + v[1]) & MASK
+            v[1] = _rotate(v[1], 17) ^ v[2]
+            v[2] = _rotate(v[2], 32)
+
+    whole = len(data) // 8 * 8
+    for at in range(0, whole, 8):
+        (word,) = struct.unpack_from("<Q", data, at)
+        v[3] ^= word
+        rounds(2)
+        v[0] ^= word
+    last = (len(data) & 0xFF) << 56 | int.from_bytes(data[whole:], "little")
+    v[3] ^= last
+    rounds(2)
+    v[0] ^= last
+    v[2] ^= 0xFF
+    rounds(4)
+    return struct.pack("<Q", v[0] ^ v[1] ^ v[2] ^ v[3])
+
+
+class Verdict(Enum):
+    NONE = "none"  # no cookie at all
+    CLIENT_ONLY = "client only"  # a first contact, or one that lost what it was given
+    BAD = "bad"  # a server cookie that this server did not make for this address, or that is too old
+    GOOD = "good"
+
+
+class Cookies:
+    """Makes and checks server cookies under one secret."""
+
+    def __init__(self, secret: bytes) -> None:
+        if len(secret) != 16:
+            raise ValueError("a cookie secret has 16 bytes")
+        self.secret = secret
+
+    def make(self, client: bytes, peer: str, now: int) -> bytes:
+        """A server cookie for this client cookie and address, at `now` in Unix seconds."""
+        head = struct.pack("!B3xI", VERSION, now & 0xFFFFFFFF)
+        return head + siphash24(self.secret, client + head + ipaddress.ip_address(peer).packed)
+
+    def check(self, cookie: bytes | None, peer: str, now: int) -> Verdict:
+        if cookie is None:
+            return Verdict.NONE
+        if len(cookie) == CLIENT:
+            return Verdict.CLIENT_ONLY
+        client, server = cookie[:CLIENT], cookie[CLIENT:]
+        if len(server) != SERVER or server[0] != VERSION:
+            return Verdict.BAD
+        (made,) = struct.unpack_from("!I", server, 4)
+        if not now - LIFE <= made <= now + AHEAD:
+            return Verdict.BAD
+        try:
+            expected = self.make(client, peer, made)
+        except ValueError:  # not an address: nothing can be proved of it
+            return Verdict.BAD
+        return Verdict.GOOD if hmac.compare_digest(expected, server) else Verdict.BAD
+
+    def answer(self, cookie: bytes, peer: str, now: int) -> bytes:
+        """The cookie option of a response: the client's, and a server cookie, the one it brought while that is young
+        enough (RFC 9018, section 4.3), else a new one."""
+        client = cookie[:CLIENT]
+        if len(cookie) == CLIENT + SERVER and self.check(cookie, peer, now) is Verdict.GOOD:
+            (made,) = struct.unpack_from("!I", cookie, CLIENT + 4)
+            if now - made < RENEW:
+                return cookie
+        try:
+            return client + self.make(client, peer, now)
+        except ValueError:
+            return client
+
--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import os
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,7 +12,9 @@
 from threadhill.core.slots import Slots
 from threadhill.dns import message as dns
 from threadhill.dns import records
-from threadhill.dns.charging import Charging, resolver_key
+from threadhill.dns.charging import SECOND, Charging, resolver_key
+from threadhill.dns.cookies import Cookies, Verdict
+from threadhill.dns.limits import Limits, Send, most_bytes
 from threadhill.dns.message import Code, Query, Record, Response, Type
 from threadhill.dns.names import Kind, Place, place, zone_of
 from threadhill.dns.options import Extended
@@ -36,6 +39,20 @@
     connections: int = 64
     nsid: bytes = b""  # who answered, for those who ask (RFC 5001)
     fallback: str = ""  # where resolvers that keep answers of TTL 0 are sent instead of to a server, by CNAME
+    responses_per_s: float = 100.0  # over UDP, to one network without a cookie of ours; 0: no limit
+    slip: int = 2  # of the responses that are over it, every so many is sent truncated; 0: none
+    resolver_qps: float = 500.0  # queries of one resolver that reach the module each second; 0: no limit
+    trusted: tuple[str, ...] = ()  # networks whose addresses count as proven: the operator's own resolvers
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Who asked, and how an answer reaches it."""
+
+    address: str
+    stream: bool  # over a connection: its address is proven by the handshake
+    reply: Reply
+    proven: bool = False  # by the handshake, or by a cookie that this server made for it
 
 
 @dataclass(slots=True)
@@ -44,8 +61,7 @@
 
     query: Query
     place: Place
-    stream: bool  # it came over a connection
-    reply: Reply
+    peer: Peer
     resolver: str = ""  # whose clients it is for: the client subnet told, else the resolver's network
     handle: int = -1
 
@@ -61,6 +77,9 @@
         self._grants: dict[tuple[str, int], tuple[int, int]] = {}  # (box, number) -> (server, until when)
         self._granted = 0
         self.charging = Charging()
+        self.cookies = Cookies(os.urandom(16))  # a new secret at each start: cookies of the old one are made anew
+        self.limits = Limits(config.responses_per_s, config.slip, config.resolver_qps)
+        self._networks = [ipaddress.ip_network(network, strict=False) for network in config.trusted]
         engine.watchers.append(lambda server, brought: self.charging.reported(server, brought, engine.clock.now()))
 
     # --- queries
@@ -73,22 +92,53 @@
             self.engine.stats.count("dns", "ignored")
             return None
         except dns.Bad as bad:
-            self._reply(bad.query, Response(bad.code, authoritative=False), reply, stream)
+            self._reply(bad.query, Response(bad.code, authoritative=False), Peer(peer, stream, reply, stream))
             return None
+        now = self.engine.clock.now()
+        proven = stream or self._trusted(peer) or \
+            self.cookies.check(query.options.cookie, peer, now // SECOND) is Verdict.GOOD
+        asker = Peer(peer, stream, reply, proven)
+        if not stream:
+            sent = self.limits.response(resolver_key(peer), proven, now)
+            if sent is not Send.ANSWER:  # a flood, most likely from addresses that are not the askers'
+                self.engine.stats.count("dns", f"rate limited, {sent.value}")
+                if sent is Send.SLIP:
+                    self._reply(query, Response(truncated=True), asker)
+                return None
         zone = zone_of(query.name, self.engine.tenants.zones())
         if zone is None or query.cls != dns.IN or query.type in (Type.AXFR, Type.IXFR):
             error = (Extended.NOT_AUTHORITATIVE, "no zone of this server") if zone is None else (
                 Extended.PROHIBITED, "zone transfers and classes other than IN are not served")
-            self._reply(query, Response(Code.REFUSED, authoritative=False, error=error), reply, stream)
+            self._reply(query, Response(Code.REFUSED, authoritative=False, error=error), asker)
             return None
         at = place(query.name, zone, self.engine.tenants, self.classes)
         if at.kind in (Kind.TARGET, Kind.SERVICE) and self._steers(query, at):
             subnet = query.options.subnet
             told = (subnet.family, subnet.source, subnet.address) if subnet is not None else None
-            return self._ask(Pending(query, at, stream, reply, resolver_key(peer, told)))
-        self._reply(query, self._plain(query, at), reply, stream)
+            resolver = resolver_key(peer, told)
+            if not proven and query.type not in (Type.A, Type.AAAA):
+                # A name with its target and hints is more than half as large again as what asked for it: whoever
+                # asks from an address that is not proven is told to come over TCP, or with the cookie it is sent.
+                self._reply(query, Response(truncated=True), asker)
+                return None
+            if not self.limits.may_ask(resolver_key(peer), now):
+                self.engine.stats.count("dns", "over the resolver's budget")
+                error = (Extended.PROHIBITED, "this resolver asks for more than its share; come back in a second")
+                self._reply(query, Response(Code.SERVFAIL, error=error), asker)
+                return None
+            return self._ask(Pending(query, at, asker, resolver))
+        self._reply(query, self._plain(query, at), asker)
         return None
 
+    def _trusted(self, peer: str) -> bool:
+        if not self._networks or not peer:
+            return False
+        try:
+            address = ipaddress.ip_address(peer)
+        except ValueError:
+            return False
+        return any(address in network for network in self._networks)
+
     def forget(self, ref: int) -> None:
         """The resolver went away."""
         pending = self.pending.free(ref)
@@ -109,7 +159,7 @@
             # It keeps what it is told past any drain: only a name of the operator's that does not drain will do.
             self.engine.stats.count("dns", "fallback")
             fallback = Record(Type.CNAME, (labels_of(self.config.fallback),))
-            self._reply(pending.query, Response(answers=[fallback]), pending.reply, pending.stream)
+            self._reply(pending.query, Response(answers=[fallback]), pending.peer)
             return None
         weight = self.charging.weight(pending.resolver, at.cls, now)
         ref = self.pending.add(pending)
@@ -135,17 +185,28 @@
             response = Response(Code.SERVFAIL, error=(Extended.PROHIBITED, text))
         else:
             response = Response(Code.SERVFAIL, error=(Extended.NOT_READY, "no server may be named now"))
-        self._reply(pending.query, response, pending.reply, pending.stream)
+        self._reply(pending.query, response, pending.peer)
 
     # --- replies
 
-    def _reply(self, query: Query, response: Response, reply: Reply, stream: bool) -> None:
-        """Send the response, with what EDNS asks for."""
+    def _reply(self, query: Query, response: Response, peer: Peer) -> None:
+        """Send the response, with what EDNS asks for; to an address that is not proven, no more than half as many
+        bytes again as it sent, so that nobody can be flooded by queries in his name."""
         self.engine.stats.count("dns", response.code.name)
         response.nsid = self.config.nsid
-        if stream and query.options.keepalive:  # over UDP there is no connection to keep (RFC 7828, section 3.2.1)
+        if peer.stream and query.options.keepalive:  # over UDP there is no connection to keep (RFC 7828, 3.2.1)
             response.keepalive = KEEPALIVE
-        reply(dns.pack(query, response, 65_535 if stream else min(query.payload, dns.OUR_UDP)))
+        if query.options.cookie is not None and peer.address:
+            response.cookie = self.cookies.answer(query.options.cookie, peer.address, self.engine.clock.now() // SECOND)
+        if peer.stream:
+            peer.reply(dns.pack(query, response, 65_535))
+            return
+        most = most_bytes(query.size, peer.proven, min(query.payload, dns.OUR_UDP))
+        packed = dns.pack(query, response, most)
+        if len(packed) > most:  # even the bare truncated answer is too large with all that EDNS adds
+            response.nsid, response.error = b"", None
+            packed = dns.pack(query, Response(truncated=True, cookie=response.cookie), most)
+        peer.reply(packed)
 
     # --- records
 
--- a/threadhill/dns/message.py
+++ b/threadhill/dns/message.py
@@ -105,6 +105,8 @@
     scope: int = 0  # bits of the client's subnet that the answer holds for (RFC 7871)
     nsid: bytes = b""
     keepalive: int | None = None  # tenths of a second that an idle connection stays (RFC 7828)
+    cookie: bytes | None = None  # the client's cookie and the server's (RFC 7873, section 5.2)
+    truncated: bool = False  # nothing but the header and the question, and TC set: ask again over TCP
 
 
 def pack_name(labels: Labels) -> bytes:
@@ -243,6 +245,8 @@
 def pack(query: Query, response: Response, most: int) -> bytes:
     """The response in at most so many bytes. What does not fit goes by whole sets: first additional records, of which
     nobody needs to hear (RFC 2181, section 9), then all, and the header says so."""
+    if response.truncated:
+        return _pack(query, response, [[], [], []], 0x0200)
     sections = [response.answers, response.authority, response.additional]
     packed = _pack(query, response, sections, 0)
     if len(packed) > most and sections[2]:
@@ -276,6 +280,8 @@
         data += options.option(Option.NSID, response.nsid)
     if response.keepalive is not None:
         data += options.option(Option.KEEPALIVE, struct.pack("!H", response.keepalive))
+    if response.cookie is not None:
+        data += options.option(Option.COOKIE, response.cookie)
     if response.error is not None:
         data += options.extended_error(*response.error)
     ttl = (response.code >> 4) << 24 | (DO if query.dnssec else 0)
--- a/threadhill/dns/options.py
+++ b/threadhill/dns/options.py
@@ -51,6 +51,7 @@
     subnet: Subnet | None = None
     nsid: bool = False
     keepalive: bool = False
+    cookie: bytes | None = None  # the client cookie, and the server cookie where one is brought back (RFC 7873)
 
 
 def read_subnet(raw: bytes) -> Subnet:
@@ -70,6 +71,7 @@
 def read_options(raw: bytes) -> Options:
     """All options of an OPT record; ValueError where one is malformed."""
     subnet, seen, at, count = None, set(), 0, 0
+    cookie: bytes | None = None
     while at < len(raw):
         if at + 4 > len(raw):
             raise ValueError("an option is cut off")
@@ -82,10 +84,14 @@
             if subnet is not None:
                 raise ValueError("a second client subnet")
             subnet = read_subnet(data)
-        elif code == Option.COOKIE and size != 8 and not 16 <= size <= 40:  # RFC 7873, section 5.2.2; none is given yet
-            raise ValueError("a cookie has a wrong length")
+        elif code == Option.COOKIE:
+            if size != 8 and not 16 <= size <= 40:  # RFC 7873, section 5.2.2
+                raise ValueError("a cookie has a wrong length")
+            if cookie is not None:
+                raise ValueError("a second cookie")
+            cookie = data
         seen.add(code)
-    return Options(subnet, Option.NSID in seen, Option.KEEPALIVE in seen)
+    return Options(subnet, Option.NSID in seen, Option.KEEPALIVE in seen, cookie)
 
 
 def option(code: int, data: bytes) -> bytes:
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import os
 import tomllib
 from collections.abc import Mapping
@@ -14,7 +15,7 @@
 from threadhill.dns.front import DnsConfig
 from threadhill.documents import Invalid, read_tenants
 from threadhill.hostnames import labels_of
-from threadhill.settings import Malformed, address, mapping, sequence, text, whole
+from threadhill.settings import Malformed, address, mapping, number, sequence, text, whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +48,8 @@
     """The operator's file; a key that is not known is a fault, as it would else be silently without effect."""
     for unknown in sorted(set(raw) - {"dns", "admin", "tenants"}):
         raise Malformed(f"{unknown}: no such key")
-    dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback"})
+    dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback",
+                              "responses_per_s", "slip", "resolver_qps", "trusted"})
     admin = _table(raw, "admin", {"listen", "token_file", "token_env"})
     try:
         tenants = tuple(read_tenants(raw.get("tenants", [])))
@@ -71,7 +73,18 @@
     fallback = text(raw.get("fallback", ""), "dns.fallback")
     if fallback:
         labels_of(fallback)
-    return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections, nsid, fallback)
+    limits = {key: number(raw.get(key, default), f"dns.{key}") for key, default in
+              (("responses_per_s", 100.0), ("slip", 2), ("resolver_qps", 500.0))}
+    if any(value < 0 for value in limits.values()):
+        raise Malformed("dns: responses_per_s, slip and resolver_qps are 0 (no limit) or more")
+    trusted = tuple(text(network, "dns.trusted") for network in sequence(raw.get("trusted"), "dns.trusted"))
+    for network in trusted:
+        try:
+            ipaddress.ip_network(network, strict=False)
+        except ValueError:
+            raise Malformed(f"dns.trusted: not a network: {network[:60]!r}") from None
+    return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections, nsid, fallback,
+                     limits["responses_per_s"], int(limits["slip"]), limits["resolver_qps"], trusted)
 
 
 def _read_admin(raw: dict[str, Any], environ: Mapping[str, str], base: Path) -> AdminConfig:
