Answer DNS clients with their node's servers: views by longest prefix, a module a node

Each node named gets an engine with a module of its own, told of the list, purges and tenants as the proxy's is; a query goes to the first of its view's nodes that has a ready cache, else SERVFAIL with the reason. The answer's scope is the prefix that chose it, or the finest view inside what was told. Not taken: one module told the client's node (its rooms and paces are its own location's), or answers made ahead for each view (nothing of the module's choice would be in them).

--- a/threadhill/core/cordons.py
+++ b/threadhill/core/cordons.py
@@ -50,6 +50,10 @@
             return replace(entry, state=api.State.DRAINING)
         return entry
 
+    def seen(self) -> list[api.Entry]:
+        """The whole list as the module is to see it now."""
+        return [self._seen(entry) for entry in self.listed.values()]
+
     def known(self, number: int) -> bool:
         """Whether anybody has this server: listed now, or out by hand."""
         return number in self.listed or number in self.out
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -60,14 +60,23 @@
         self.caches: Caches | None = None
         self._events: deque[api.Event] = deque()
         self._busy = False
+        self.followers: list[Engine] = []  # engines of other nodes' views, told of the list and purges
         self.own: Counter[int] = Counter()  # attempts of this proxy's own out at each server
         # Told of each server's report of what it has in hand beyond this proxy's own attempts there.
         self.watchers: list[Callable[[int, float], None]] = []
 
-    def start(self, caches: Caches) -> None:
+    def start(self, caches: Caches | None) -> None:
+        """Begin; an engine without caches only hands clients over, as one of a DNS view does."""
         self.caches = caches
         self._act(self.router.start(self.clock.now()))
 
+    def follow(self, other: Engine) -> None:
+        """Let another engine, with a module of its own, hear of the list, purges and tenants as this one does from
+        now on, and of the list as it stands."""
+        other.tenants = self.tenants
+        self.followers.append(other)
+        other.listed(api.ListNews(api.ListKind.FULL, tuple(self.cordons.seen())))
+
     # --- what fronts call
 
     def ask(self, front: Front, ref: int, ask: Ask) -> int:
@@ -164,6 +173,8 @@
         self._take(news)
         if self.caches is not None:
             self.caches.listed(list(news.entries))
+        for follower in self.followers:  # as the module here sees it, cordons and all
+            follower.listed(news)
 
     def rotation(self) -> tuple[int, int]:
         """Cache servers in the list, and how many of them are avoided now: by hand, by the list, or by the module
@@ -183,6 +194,8 @@
         self._take(purge)
         if self.caches is not None:
             self.caches.purged(purge.object, purge.group)
+        for follower in self.followers:
+            follower.purged(purge)
 
     # --- the turn
 
--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -17,7 +17,8 @@
 from threadhill.dns.limits import Limits, Send, most_bytes
 from threadhill.dns.message import Code, Query, Record, Response, Type
 from threadhill.dns.names import Kind, Place, place, zone_of
-from threadhill.dns.options import Extended
+from threadhill.dns.options import Extended, Subnet
+from threadhill.dns.views import View, Views
 from threadhill.hostnames import BOXES, labels_of
 
 GRANT = 200_000  # microseconds in which a server that a record named may be looked up; under the drain limit
@@ -43,6 +44,7 @@
     slip: int = 2  # of the responses that are over it, every so many is sent truncated; 0: none
     resolver_qps: float = 500.0  # queries of one resolver that reach the module each second; 0: no limit
     trusted: tuple[str, ...] = ()  # networks whose addresses count as proven: the operator's own resolvers
+    views: tuple[View, ...] = ()  # which clients are answered with which node's servers
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,14 +66,19 @@
     peer: Peer
     resolver: str = ""  # whose clients it is for: the client subnet told, else the resolver's network
     handle: int = -1
+    engine: Engine | None = None  # that of the node it is answered for
+    scope: int = 0  # bits of the client subnet that the answer holds for
 
 
 class DnsFront:
     """Answers queries over any transport; plugs into the core as a front."""
 
     def __init__(self, engine: Engine, config: DnsConfig, classes: frozenset[str],
-                 where: Callable[[int], Where | None], families: Callable[[], set[int]]) -> None:
+                 where: Callable[[int], Where | None], families: Callable[[], set[int]],
+                 nodes: dict[str, Engine] | None = None) -> None:
         self.engine, self.config, self.classes = engine, config, classes
+        self.views = Views(list(config.views), engine.router.set.zone)
+        self.nodes = {engine.router.set.zone: engine, **(nodes or {})}  # an engine of its own for each view's node
         self.where, self.families = where, families
         self.pending: Slots[Pending] = Slots()
         self._grants: dict[tuple[str, int], tuple[int, int]] = {}  # (box, number) -> (server, until when)
@@ -126,7 +133,7 @@
                 error = (Extended.PROHIBITED, "this resolver asks for more than its share; come back in a second")
                 self._reply(query, Response(Code.SERVFAIL, error=error), asker)
                 return None
-            return self._ask(Pending(query, at, asker, resolver))
+            return self._ask(Pending(query, at, asker, resolver), self._client(peer, subnet))
         self._reply(query, self._plain(query, at), asker)
         return None
 
@@ -142,8 +149,8 @@
     def forget(self, ref: int) -> None:
         """The resolver went away."""
         pending = self.pending.free(ref)
-        if pending is not None:
-            self.engine.gone(pending.handle)
+        if pending is not None and pending.engine is not None:
+            pending.engine.gone(pending.handle)
 
     def _steers(self, query: Query, at: Place) -> bool:
         """Whether the answer names a server; where it can't, none may be charged for it."""
@@ -153,8 +160,35 @@
         # With no server at all the name still has addresses, only none to be told now: SERVFAIL, not NODATA.
         return at.kind is Kind.TARGET and family is not None and (family in there or not there)
 
-    def _ask(self, pending: Pending) -> int | None:
+    @staticmethod
+    def _client(peer: str, subnet: Subnet | None) -> tuple[str, int | None]:
+        """The client's address as far as it is told, and how many bits of it; the resolver's where none is."""
+        if subnet is None or subnet.family not in (1, 2):
+            return peer, None
+        size = 4 if subnet.family == 1 else 16
+        return str(ipaddress.ip_address(subnet.address.ljust(size, b"\0"))), subnet.source
+
+    def _node(self, pending: Pending, client: tuple[str, int | None]) -> Engine | None:
+        """The engine of the first node of the client's view that has a server ready; None where none has."""
+        choice = self.views.choose(*client)
+        pending.scope = choice.scope
+        if not self.views.nodes:  # no views: the module alone decides what there is, the origin included
+            return self.engine
+        for node in choice.nodes:
+            engine = self.nodes.get(node)
+            if engine is not None and engine.router.fleet.caches:
+                return engine
+        return None
+
+    def _ask(self, pending: Pending, client: tuple[str, int | None]) -> int | None:
         at, now = pending.place, self.engine.clock.now()
+        engine = self._node(pending, client)
+        if engine is None:
+            self.engine.stats.count("dns", "no node ready")
+            error = (Extended.NOT_READY, "no server of this client's node, nor of those it may fall to, is ready")
+            self._reply(pending.query, Response(Code.SERVFAIL, error=error, scope=pending.scope), pending.peer)
+            return None
+        pending.engine = engine
         if self.config.fallback and self.charging.holds(pending.resolver, at.cls, now):
             # It keeps what it is told past any drain: only a name of the operator's that does not drain will do.
             self.engine.stats.count("dns", "fallback")
@@ -163,8 +197,8 @@
             return None
         weight = self.charging.weight(pending.resolver, at.cls, now)
         ref = self.pending.add(pending)
-        handle = self.engine.ask(self, ref, Ask(os.urandom(8).hex(), at.cls, at.object, self.config.deadline,
-                                                at.part, tenant=at.tenant, hand_over=True, weight=weight))
+        handle = engine.ask(self, ref, Ask(os.urandom(8).hex(), at.cls, at.object, self.config.deadline,
+                                           at.part, tenant=at.tenant, hand_over=True, weight=weight))
         if self.pending.get(ref) is None:
             return None
         pending.handle = handle
@@ -185,6 +219,7 @@
             response = Response(Code.SERVFAIL, error=(Extended.PROHIBITED, text))
         else:
             response = Response(Code.SERVFAIL, error=(Extended.NOT_READY, "no server may be named now"))
+        response.scope = pending.scope
         self._reply(pending.query, response, pending.peer)
 
     # --- replies
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -13,6 +13,7 @@
 from threadhill.config import BadConfig
 from threadhill.core.tenants import Tenant
 from threadhill.dns.front import DnsConfig
+from threadhill.dns.views import View, Views
 from threadhill.documents import Invalid, read_tenants
 from threadhill.hostnames import labels_of
 from threadhill.settings import Malformed, address, mapping, number, sequence, text, whole
@@ -49,7 +50,7 @@
     for unknown in sorted(set(raw) - {"dns", "admin", "tenants"}):
         raise Malformed(f"{unknown}: no such key")
     dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback",
-                              "responses_per_s", "slip", "resolver_qps", "trusted"})
+                              "responses_per_s", "slip", "resolver_qps", "trusted", "views"})
     admin = _table(raw, "admin", {"listen", "token_file", "token_env"})
     try:
         tenants = tuple(read_tenants(raw.get("tenants", [])))
@@ -83,8 +84,31 @@
             ipaddress.ip_network(network, strict=False)
         except ValueError:
             raise Malformed(f"dns.trusted: not a network: {network[:60]!r}") from None
+    views = tuple(_read_view(view, i) for i, view in enumerate(sequence(raw.get("views"), "dns.views")))
+    try:
+        Views(list(views), "")
+    except ValueError as error:
+        raise Malformed(f"dns.views: {error}") from None
     return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections, nsid, fallback,
-                     limits["responses_per_s"], int(limits["slip"]), limits["resolver_qps"], trusted)
+                     limits["responses_per_s"], int(limits["slip"]), limits["resolver_qps"], trusted, views)
+
+
+def _read_view(raw: Any, i: int) -> View:
+    at = f"dns.views[{i}]"
+    table = mapping(raw, at)
+    for unknown in sorted(set(table) - {"node", "networks", "then"}):
+        raise Malformed(f"{at}.{unknown}: no such key")
+    node = text(table.get("node"), f"{at}.node")
+    networks = tuple(text(n, f"{at}.networks") for n in sequence(table.get("networks"), f"{at}.networks"))
+    then = tuple(text(n, f"{at}.then") for n in sequence(table.get("then"), f"{at}.then"))
+    if not node or not networks:
+        raise Malformed(f"{at}: a view names its node and at least one network")
+    for network in networks:
+        try:
+            ipaddress.ip_network(network, strict=False)
+        except ValueError:
+            raise Malformed(f"{at}.networks: not a network: {network[:60]!r}") from None
+    return View(node, networks, then)
 
 
 def _read_admin(raw: dict[str, Any], environ: Mapping[str, str], base: Path) -> AdminConfig:
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -8,6 +8,7 @@
 import signal
 import tempfile
 import time
+import zlib
 from collections.abc import Mapping
 from dataclasses import replace
 from pathlib import Path
@@ -98,8 +99,17 @@
         from threadhill.dns.front import DnsFront
         from threadhill.dns.transport import DnsServer
 
+        nodes = {}
+        home = self.config.settings.zone
+        for node in sorted(({v.node for v in config.views} | {n for v in config.views for n in v.then}) - {home}):
+            # Each node's clients are answered by a module of that node's own, told of the list as this one is.
+            settings = replace(self.config.settings, zone=node)
+            nodes[node] = Engine(settings, self.config.seed ^ zlib.crc32(node.encode()), self.clock, self.deadlines,
+                                 self.stats, log)
+            nodes[node].start(None)
+            self.engine.follow(nodes[node])
         front = DnsFront(self.engine, config, frozenset(self.config.settings.classes), self.caches.where,
-                         self.caches.families)
+                         self.caches.families, nodes)
         self.dns = front
         log.say(f"dns: serving on {await DnsServer(front, log).listen()}")
 
