Answer DNS over TLS, with certificates taken anew while connections stay; quotas by network

Way taken: the same guest behind a door that has a certificate; each new connection gets the context of the newest pair, so old ones keep theirs. Not taken: reloading into the one context (OpenSSL would use half of a pair that is being replaced) and ending connections on a change (200 reconnects at once).

Also: padding over TLS only (RFC 7830, 8467); a door may bound the connections of one network. The conformance table runs over UDP, TCP and TLS. With the look for new certificates taken out the swap test fails, with the quota taken out the quota test fails.

--- a/tests/conformance/rows.py
+++ b/tests/conformance/rows.py
@@ -32,7 +32,7 @@
     text: str
     query: Message | bytes
     check: Check | None  # None: no response may come
-    over: tuple[str, ...] = ("udp", "tcp")
+    over: tuple[str, ...] = ("udp", "tcp", "tls")
 
 
 def ask(name: str = TARGET, kind: int = types.A, edns: bool | int = False, options: tuple = (), flags: int = 0,
@@ -87,6 +87,7 @@
     return r.answer[0][0]
 
 
+PADDING = dns.edns.GenericOption(12, bytes(20))
 FORMERR, NOTIMP, REFUSED = code(dns.rcode.FORMERR), code(dns.rcode.NOTIMP), code(dns.rcode.REFUSED)
 ECS = told(dns.edns.OptionType.ECS)
 ERROR = told(dns.edns.OptionType.EDE)
@@ -135,8 +136,8 @@
     Row("RFC 9460 4.1", "HTTPS: the target's address comes with it", ask(TARGET, types.HTTPS),
         lambda q, r: r.additional[0].name == first(r).target),
     Row("RFC 8482 4.2", "ANY: one small record", ask(TARGET, types.ANY), answers(types.HINFO)),
-    Row("RFC 5936 4.2", "a transfer that is not allowed is refused", ask(ZONE, types.AXFR), REFUSED, ("tcp",)),
-    Row("RFC 1995 4", "an incremental one too", ask(ZONE, types.IXFR), REFUSED, ("tcp",)),
+    Row("RFC 5936 4.2", "a transfer that is not allowed is refused", ask(ZONE, types.AXFR), REFUSED, ("tcp", "tls")),
+    Row("RFC 1995 4", "an incremental one too", ask(ZONE, types.IXFR), REFUSED, ("tcp", "tls")),
     Row("RFC 8906 3.1.3", "a zone that is not here: REFUSED", ask("elsewhere.example."), REFUSED),
     Row("RFC 8906 3.1.3", "and not authoritative", ask("elsewhere.example."),
         lambda q, r: not r.flags & dns.flags.AA),
@@ -199,13 +200,20 @@
     Row("RFC 7873 5.2", "a client's cookie does no harm", with_option(10, b"12345678"), answers(types.A)),
     Row("RFC 7828 3.3.2", "keepalive on a connection for who asks",
         ask(edns=0, options=(dns.edns.GenericOption(11, b""),)),
-        lambda q, r: [o.to_wire() for o in told(11)(r)] == [b"\0\x64"], ("tcp",)),
+        lambda q, r: [o.to_wire() for o in told(11)(r)] == [b"\0\x64"], ("tcp", "tls")),
     Row("RFC 7828 3.2.1", "never over UDP", ask(edns=0, options=(dns.edns.GenericOption(11, b""),)),
         lambda q, r: not told(11)(r), ("udp",)),
+    Row("RFC 7830 4", "a padded query gets a padded response", ask(edns=0, options=(PADDING,)),
+        lambda q, r: len(told(12)(r)) == 1, ("tls",)),
+    Row("RFC 8467 4.1", "of a multiple of 468 bytes", ask(edns=0, options=(PADDING,)),
+        lambda q, r: r.wire and len(r.wire) % 468 == 0, ("tls",)),
+    Row("RFC 7830 6", "never in the clear", ask(edns=0, options=(PADDING,)),
+        lambda q, r: not told(12)(r), ("udp", "tcp")),
+    Row("RFC 7830 4", "and none where none was asked", ask(edns=0), lambda q, r: not told(12)(r), ("tls",)),
     Row("RFC 8914 4.21", "why it is refused: not authoritative", ask("elsewhere.example.", edns=0),
         lambda q, r: [o.code for o in ERROR(r)] == [20]),
     Row("RFC 8914 4.19", "why a transfer is: prohibited", ask(ZONE, types.AXFR, edns=0),
-        lambda q, r: [o.code for o in ERROR(r)] == [18], ("tcp",)),
+        lambda q, r: [o.code for o in ERROR(r)] == [18], ("tcp", "tls")),
     Row("RFC 8914 2", "with a text for people", ask("elsewhere.example.", edns=0), lambda q, r: bool(ERROR(r)[0].text)),
     Row("RFC 8914 2", "nothing of it without EDNS", ask("elsewhere.example."), lambda q, r: r.edns == -1),
     Row("RFC 8914 2", "and nothing where it is no error", ask(edns=0), lambda q, r: not ERROR(r)),
--- a/tests/conformance/test_dns.py
+++ b/tests/conformance/test_dns.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 import struct
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import dns.message
+import trustme
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.conformance.rows import ROWS, TARGET, Row, ask
 from tests.test_dns import OPERATOR
+from tests.test_dns_tls import TLS, certify
 from tests.world import World, until
 from threadhill.dns import message, options
 from threadhill.dns.message import Bad, Ignored, Record, Response
@@ -39,20 +43,32 @@
         transport.close()
 
 
-async def over_tcp(port: int, raw: bytes, wanted: bool) -> bytes | None:
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+async def over_tcp(port: int, raw: bytes, wanted: bool, context: ssl.SSLContext | None = None) -> bytes | None:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, ssl=context)
     writer.write(struct.pack("!H", len(raw)) + raw)
     found = await reader.readexactly(struct.unpack("!H", await reader.readexactly(2))[0])
     writer.close()
     return found
 
 
-async def judge(port: int, row: Row, transport: str) -> str | None:
+Ways = dict[str, Callable[[bytes, bool], Awaitable[bytes | None]]]
+
+
+async def ways(world: World, authority: trustme.CA) -> Ways:
+    """How a query goes by each transport."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    authority.configure_trust(context)
+    plain, secure = await world.listens("dns"), await world.listens("dns tls")
+    return {"udp": lambda raw, wanted: over_udp(plain, raw, wanted),
+            "tcp": lambda raw, wanted: over_tcp(plain, raw, wanted),
+            "tls": lambda raw, wanted: over_tcp(secure, raw, wanted, context)}
+
+
+async def judge(ways: Ways, row: Row, transport: str) -> str | None:
     """What is wrong; None where the row is kept. A refusal for want of room is no answer to a row, and asked again."""
     query = row.query if isinstance(row.query, bytes) else row.query.to_wire()
     for _ in range(40):
-        send = over_udp if transport == "udp" else over_tcp
-        raw = await send(port, query, row.check is not None)
+        raw = await ways[transport](query, row.check is not None)
         if row.check is None:
             return None if raw is None else "was answered"
         found = dns.message.from_wire(raw, ignore_trailing=False)
@@ -68,13 +84,14 @@
 
 def test_every_row_of_the_table_is_kept(tmp_path: Path) -> None:
     async def scene() -> list[str]:
-        operator = OPERATOR.replace("deadline_ms = 400", 'deadline_ms = 400\nnsid = "n0.example"')
+        authority = trustme.CA()
+        operator = OPERATOR.replace("deadline_ms = 400", 'deadline_ms = 400\nnsid = "n0.example"') + TLS
+        certify(tmp_path, authority)
         async with World(tmp_path, caches=4, operator=operator) as world:
-            port = await world.listens("dns")
-            wrong = []
+            by, wrong = await ways(world, authority), []
             for row in ROWS:
                 for transport in row.over:
-                    told = await judge(port, row, transport)
+                    told = await judge(by, row, transport)
                     if told is not None:
                         wrong.append(f"{row.section}, {row.text} ({transport}) {told}")
             return wrong
--- /dev/null
+++ b/tests/test_dns_tls.py
@@ -0,0 +1,112 @@
+"""DNS over TLS: certificates that change under open connections, keys that others may read, quotas."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import ssl
+import struct
+from pathlib import Path
+
+import pytest
+import trustme
+
+from tests.test_dns import NAME, NOERROR, OPERATOR, Reply, play, query
+from tests.world import World, until
+
+TLS = """
+[dns.tls]
+listen = "127.0.0.1:0"
+certificate = "chain.pem"
+key = "key.pem"
+"""
+
+
+def certify(folder: Path, authority: trustme.CA, mode: int = 0o600) -> None:
+    """A new certificate for 127.0.0.1 in the operator's files, each put in place whole."""
+    made = authority.issue_cert("127.0.0.1")
+    made.private_key_pem.write_to_path(folder / "new")
+    os.chmod(folder / "new", mode)
+    os.replace(folder / "new", folder / "key.pem")
+    (folder / "new").write_bytes(b"".join(blob.bytes() for blob in made.cert_chain_pems))
+    os.replace(folder / "new", folder / "chain.pem")
+
+
+def trusting(*authorities: trustme.CA) -> ssl.SSLContext:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)  # without the machine's own authorities
+    for authority in authorities:
+        authority.configure_trust(context)
+    return context
+
+
+async def ask(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Reply:
+    writer.write(struct.pack("!H", len(query(NAME))) + query(NAME))
+    return Reply(await reader.readexactly(struct.unpack("!H", await reader.readexactly(2))[0]))
+
+
+def test_a_new_certificate_is_taken_under_200_connections_and_ends_none(tmp_path: Path) -> None:
+    first, second = trustme.CA(), trustme.CA()
+    certify(tmp_path, first)
+
+    async def scene(w: World, _: object) -> None:
+        port = await w.listens("dns tls")
+        trust = trusting(first)
+        held = [await asyncio.open_connection("127.0.0.1", port, ssl=trust) for _ in range(200)]
+        assert {reply.code for reply in await asyncio.gather(*(ask(*one) for one in held))} <= {0, 2}
+        certify(tmp_path, second, mode=0o644)
+        await w.logged("chmod 600")  # others may read the key: told, and the old pair goes on
+        old = await asyncio.open_connection("127.0.0.1", port, ssl=trusting(first))
+        certify(tmp_path, second)
+        await w.logged("new certificate taken")
+        with pytest.raises(ssl.SSLCertVerificationError):
+            await asyncio.open_connection("127.0.0.1", port, ssl=trusting(first))
+        new = await asyncio.open_connection("127.0.0.1", port, ssl=trusting(second))
+        assert len([await ask(*one) for one in (*held, old, new)]) == 202
+        for _, writer in (*held, old, new):
+            writer.transport.abort()
+
+    play(tmp_path, scene, OPERATOR.replace("deadline_ms = 400", "deadline_ms = 400\nconnections = 250") + TLS)
+
+
+def test_connections_without_a_handshake_and_over_a_networks_quota_are_ended(tmp_path: Path) -> None:
+    authority = trustme.CA()
+    certify(tmp_path, authority)
+    operator = OPERATOR.replace('trusted = ["127.0.0.1/32"]', "per_network = 3") + TLS
+
+    async def scene(w: World, _: object) -> None:
+        port = await w.listens("dns tls")
+        silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+        with pytest.raises((ConnectionError, ssl.SSLError)):  # the fourth of this network
+            await asyncio.open_connection("127.0.0.1", port, ssl=trusting(authority))
+        for reader, _ in silent:  # who never ends the handshake is ended, and its place is free again
+            assert await reader.read() == b""
+        await until(lambda: w.counted("dns tls client", "no handshake, ConnectionAbortedError") >= 3, "their ends")
+        for _ in range(5):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port, ssl=trusting(authority))
+            assert (await ask(reader, writer)).code == NOERROR
+            writer.close()
+            await writer.wait_closed()
+
+    play(tmp_path, scene, operator)
+
+
+@pytest.mark.parametrize(("spoil", "told"), [
+    (lambda folder: os.chmod(folder / "key.pem", 0o640), "chmod 600"),
+    (lambda folder: (folder / "chain.pem").write_text("nothing"), "not a certificate chain and its key"),
+    (lambda folder: (folder / "key.pem").unlink(), "No such file"),
+])
+def test_a_pair_that_cannot_be_used_stops_the_start_with_a_reason(tmp_path: Path, spoil, told: str) -> None:
+    certify(tmp_path, trustme.CA())
+    spoil(tmp_path)
+
+    async def scene() -> None:
+        world = World(tmp_path, operator=OPERATOR + TLS)
+        for listener in [*world.boxes, world.journal]:
+            await listener.start()
+        world.journal.hosts(*(box.member() for box in world.boxes), complete=True)
+        world.configure()
+        process = await world.start()
+        _, log = await process.communicate()
+        assert process.returncode == 2 and told in log.decode() and "Traceback" not in log.decode()
+
+    asyncio.run(scene())
--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -6,6 +6,7 @@
 import os
 from collections.abc import Callable
 from dataclasses import dataclass
+from pathlib import Path
 
 from threadhill.core.engine import Engine
 from threadhill.core.ports import Answer, Ask, Final
@@ -24,12 +25,22 @@
 GRANT = 200_000  # microseconds in which a server that a record named may be looked up; under the drain limit
 GRANTS = 4_096  # of them remembered at most
 SOA_TIMES = (3_600, 600, 86_400, 0)  # refresh, retry, expire, and 0: no negative answer is kept
+PAD = 468  # bytes that a padded response is a multiple of (RFC 8467, section 4.1)
 KEEPALIVE = 100  # tenths of a second that an idle connection is kept, as clients are told (RFC 7828)
 NAMING = (Type.SRV, Type.SVCB, Type.HTTPS)  # types whose records name a server by a name of its own
 Reply = Callable[[bytes], None]
 Where = tuple[str, str, int]  # a server's name, host and port
 
 
+@dataclass(frozen=True, slots=True)
+class TlsConfig:
+    """DNS over TLS, as the operator's file has it."""
+
+    listen: tuple[str, int]
+    certificate: Path
+    key: Path
+
+
 @dataclass(frozen=True, slots=True)
 class DnsConfig:
     """What the operator's file says of this front."""
@@ -45,6 +56,8 @@
     resolver_qps: float = 500.0  # queries of one resolver that reach the module each second; 0: no limit
     trusted: tuple[str, ...] = ()  # networks whose addresses count as proven: the operator's own resolvers
     views: tuple[View, ...] = ()  # which clients are answered with which node's servers
+    tls: TlsConfig | None = None  # where it answers over TLS as well, and with which certificate
+    per_network: int = 32  # connections that one network may hold at once, over TCP and over TLS each; 0: no limit
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +68,7 @@
     stream: bool  # over a connection: its address is proven by the handshake
     reply: Reply
     proven: bool = False  # by the handshake, or by a cookie that this server made for it
+    secure: bool = False  # over TLS
 
 
 @dataclass(slots=True)
@@ -91,7 +105,7 @@
 
     # --- queries
 
-    def take(self, raw: bytes, reply: Reply, stream: bool, peer: str = "") -> int | None:
+    def take(self, raw: bytes, reply: Reply, stream: bool, peer: str = "", secure: bool = False) -> int | None:
         """One message from a resolver at `peer`. Returns what `forget` takes, if its answer is still to come."""
         try:
             query = dns.read_query(raw)
@@ -99,12 +113,12 @@
             self.engine.stats.count("dns", "ignored")
             return None
         except dns.Bad as bad:
-            self._reply(bad.query, Response(bad.code, authoritative=False), Peer(peer, stream, reply, stream))
+            self._reply(bad.query, Response(bad.code, authoritative=False), Peer(peer, stream, reply, stream, secure))
             return None
         now = self.engine.clock.now()
         proven = stream or self._trusted(peer) or \
             self.cookies.check(query.options.cookie, peer, now // SECOND) is Verdict.GOOD
-        asker = Peer(peer, stream, reply, proven)
+        asker = Peer(peer, stream, reply, proven, secure)
         if not stream:
             sent = self.limits.response(resolver_key(peer), proven, now)
             if sent is not Send.ANSWER:  # a flood, most likely from addresses that are not the askers'
@@ -137,6 +151,10 @@
         self._reply(query, self._plain(query, at), asker)
         return None
 
+    def group(self, peer: str) -> str:
+        """Whose quota of connections one from this address counts on; "" for the operator's own resolvers."""
+        return "" if self._trusted(peer) else resolver_key(peer)
+
     def _trusted(self, peer: str) -> bool:
         if not self._networks or not peer:
             return False
@@ -233,6 +251,8 @@
             response.keepalive = KEEPALIVE
         if query.options.cookie is not None and peer.address:
             response.cookie = self.cookies.answer(query.options.cookie, peer.address, self.engine.clock.now() // SECOND)
+        if peer.secure and query.options.padding:  # never in the clear (RFC 7830, section 6)
+            response.padded = PAD
         if peer.stream:
             peer.reply(dns.pack(query, response, 65_535))
             return
--- a/threadhill/dns/message.py
+++ b/threadhill/dns/message.py
@@ -18,6 +18,7 @@
 DO = 0x8000
 FARTHEST = 0x3FFF  # where a compression pointer can point to
 NO_OPTIONS = Options()  # of all queries without any
+OPT_HEAD = 11  # bytes of an OPT record before its options
 QUESTION = b"\xc0\x0c"  # a pointer to the question's name
 Labels = tuple[str, ...]
 
@@ -106,6 +107,7 @@
     nsid: bytes = b""
     keepalive: int | None = None  # tenths of a second that an idle connection stays (RFC 7828)
     cookie: bytes | None = None  # the client's cookie and the server's (RFC 7873, section 5.2)
+    padded: int = 0  # the response's length is a multiple of so many bytes (RFC 8467, section 4.1); 0: not padded
     truncated: bool = False  # nothing but the header and the question, and TC set: ask again over TCP
 
 
@@ -264,15 +266,15 @@
     counts = [len(section) for section in sections]
     if query.edns:
         counts[2] += 1
-        writer.raw += _opt(query, response)
+        writer.raw += _opt(query, response, len(writer.raw))
     flags |= 0x8000 | query.opcode << 11 | response.authoritative << 10 | query.recursion << 8
     flags |= query.checking_off << 4 | response.code & 0xF
     HEADER.pack_into(writer.raw, 0, query.id, flags, bool(query.question), *counts)
     return bytes(writer.raw)
 
 
-def _opt(query: Query, response: Response) -> bytes:
-    """The OPT record of a response (RFC 6891, section 6.1)."""
+def _opt(query: Query, response: Response, at: int) -> bytes:
+    """The OPT record of a response (RFC 6891, section 6.1), which is its last and begins at `at`."""
     asked, data = query.options, b""
     if asked.subnet is not None and response.code != Code.FORMERR:
         data += options.option(Option.SUBNET, asked.subnet.pack(response.scope if asked.subnet.source else 0))
@@ -284,5 +286,7 @@
         data += options.option(Option.COOKIE, response.cookie)
     if response.error is not None:
         data += options.extended_error(*response.error)
+    if response.padded:  # the option's own four bytes and the record's head count as well
+        data += options.option(Option.PADDING, bytes(-(at + OPT_HEAD + len(data) + 4) % response.padded))
     ttl = (response.code >> 4) << 24 | (DO if query.dnssec else 0)
     return b"\0" + struct.pack("!HHIH", Type.OPT, OUR_UDP, ttl, len(data)) + data
--- a/threadhill/dns/options.py
+++ b/threadhill/dns/options.py
@@ -20,6 +20,7 @@
     SUBNET = 8  # RFC 7871
     COOKIE = 10  # RFC 7873
     KEEPALIVE = 11  # RFC 7828
+    PADDING = 12  # RFC 7830
     EXTENDED_ERROR = 15  # RFC 8914
 
 
@@ -52,6 +53,7 @@
     nsid: bool = False
     keepalive: bool = False
     cookie: bytes | None = None  # the client cookie, and the server cookie where one is brought back (RFC 7873)
+    padding: bool = False  # asked by one that pads its query (RFC 7830)
 
 
 def read_subnet(raw: bytes) -> Subnet:
@@ -91,7 +93,7 @@
                 raise ValueError("a second cookie")
             cookie = data
         seen.add(code)
-    return Options(subnet, Option.NSID in seen, Option.KEEPALIVE in seen, cookie)
+    return Options(subnet, Option.NSID in seen, Option.KEEPALIVE in seen, cookie, Option.PADDING in seen)
 
 
 def option(code: int, data: bytes) -> bytes:
--- /dev/null
+++ b/threadhill/dns/tls.py
@@ -0,0 +1,86 @@
+"""The certificate of DNS over TLS (RFC 7858): read from files, checked, and taken anew when the files change.
+
+Connections keep the context that they began with, so a new certificate ends none of them. A pair that cannot be used
+is told in the log and changes nothing: the old one goes on.
+"""
+
+from __future__ import annotations
+
+import os
+import ssl
+import stat
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from threadhill.settings import Malformed
+
+ALPN = "dot"  # RFC 7858, section 10 (IANA)
+MOST = 1 << 20  # bytes of either file
+
+
+def check_private(path: Path) -> None:
+    """A private key that others may read is no secret: Malformed says what to do."""
+    found = os.stat(path)
+    if found.st_mode & (stat.S_IRWXG | stat.S_IRWXO):
+        raise Malformed(f"{path}: others than its owner may read or write it (mode {stat.S_IMODE(found.st_mode):04o}); "
+                        f"chmod 600 {path}")
+    if found.st_size > MOST:
+        raise Malformed(f"{path}: has over {MOST} bytes, which is no key")
+
+
+def make_context(certificate: Path, key: Path) -> ssl.SSLContext:
+    """A server's context of this pair; Malformed tells what is wrong with it."""
+    try:
+        check_private(key)
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.options |= ssl.OP_NO_COMPRESSION | ssl.OP_NO_RENEGOTIATION
+        context.set_alpn_protocols([ALPN])
+        context.load_cert_chain(certificate, key, password=_no_password)
+    except ssl.SSLError as error:
+        raise Malformed(f"{certificate} and {key}: not a certificate chain and its key: "
+                        f"{error.reason or error}") from None
+    except OSError as error:
+        raise Malformed(f"{error.filename or certificate}: {error.strerror or error}") from None
+    return context
+
+
+def _no_password() -> bytes:
+    raise OSError(0, "the key is under a password, which nobody is there to type")
+
+
+class Certificate:
+    """The pair in use. `look` takes a new one when a file changed."""
+
+    def __init__(self, certificate: Path, key: Path, log: Callable[[str], None]) -> None:
+        self.certificate, self.key, self.log = certificate, key, log
+        self._seen = self._stamps()
+        self.context = make_context(certificate, key)
+        self.loaded = 1  # pairs taken so far
+
+    def _stamps(self) -> list[tuple[int, int, int] | None]:
+        stamps: list[tuple[int, int, int] | None] = []
+        for path in (self.certificate, self.key):
+            try:
+                found = os.stat(path)
+                stamps.append((found.st_ino, found.st_size, found.st_mtime_ns))
+            except OSError:
+                stamps.append(None)
+        return stamps
+
+    def look(self) -> bool:
+        """Whether a new pair was taken. Half of a pair that is being replaced does not fit: it is tried again at the
+        next change, and each fault is told once."""
+        stamps = self._stamps()
+        if stamps == self._seen:
+            return False
+        self._seen = stamps
+        try:
+            self.context = make_context(self.certificate, self.key)
+        except Malformed as error:
+            self.log(f"dns tls: {error}; the certificate taken before stays in use")
+            return False
+        self.loaded += 1
+        self.log(f"dns tls: new certificate taken from {self.certificate} at {time.strftime('%FT%TZ', time.gmtime())}")
+        return True
--- a/threadhill/dns/transport.py
+++ b/threadhill/dns/transport.py
@@ -1,18 +1,23 @@
-"""The DNS front on sockets: UDP datagrams, and TCP messages behind their length (RFC 7766)."""
+"""The DNS front on sockets: UDP datagrams, and messages behind their length over TCP (RFC 7766) and TLS (RFC 7858),
+which share one path: the same guest, only its door has a certificate."""
 
 from __future__ import annotations
 
 import asyncio
 import struct
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from threadhill.dns.front import DnsFront
 from threadhill.net.door import Door, Guest
 
+if TYPE_CHECKING:
+    from threadhill.dns.tls import Certificate
+
 MOST = 4 << 10  # bytes of a query at most: names and an OPT are far smaller
 OUTBOUND = 64 << 10
 IDLE = 10_000_000  # microseconds without a query after which a connection is closed
+CERTIFICATE_LOOK = 500_000  # microseconds between looks whether the certificate's files changed
 OPEN = 64  # queries of one connection under way
 
 
@@ -39,9 +44,9 @@
 
     idle = IDLE
 
-    def __init__(self, front: DnsFront, door: Door) -> None:
+    def __init__(self, front: DnsFront, door: Door, secure: bool = False) -> None:
         super().__init__(door, MOST + 2, OUTBOUND)
-        self.front = front
+        self.front, self.secure = front, secure
         self.open: set[int] = set()
         self._reading = True
 
@@ -79,7 +84,7 @@
             self._throttle()
 
         peer = self.transport.get_extra_info("peername") if self.transport is not None else None
-        ref = self.front.take(raw, reply, stream=True, peer=peer[0] if peer else "")
+        ref = self.front.take(raw, reply, stream=True, peer=peer[0] if peer else "", secure=self.secure)
         if ref is not None:
             refs.append(ref)
             self.open.add(ref)
@@ -105,11 +110,23 @@
 
 
 class DnsServer:
-    """Both transports on one address."""
+    """UDP and TCP on one address, TLS on another where the operator's file names a certificate."""
 
     def __init__(self, front: DnsFront, log: Callable[[str], None]) -> None:
         self.front = front
-        self.door = Door(front.engine, "dns client", front.config.connections, lambda door: Tcp(front, door), log)
+        config = front.config
+        group = front.group if config.per_network else None
+        self.door = Door(front.engine, "dns client", config.connections, lambda door: Tcp(front, door), log,
+                         group=group, most_each=config.per_network)
+        self.secure: Door | None = None
+        self.certificate: Certificate | None = None
+        if config.tls is not None:
+            from threadhill.dns.tls import Certificate
+
+            self.certificate = own = Certificate(config.tls.certificate, config.tls.key, log)
+            self.secure = Door(front.engine, "dns tls client", config.connections,
+                               lambda door: Tcp(front, door, secure=True), log, secure=lambda: own.context,
+                               group=group, most_each=config.per_network)
 
     async def listen(self) -> str:
         """Listen; where the port is 0, TCP takes the one that UDP was given."""
@@ -126,3 +143,15 @@
                 if not left:
                     raise
         return f"{host}:{given}"
+
+    async def listen_tls(self) -> str:
+        """Listen for TLS, and look for new certificates from then on."""
+        host, port = self.front.config.tls.listen
+        given = await self.secure.listen(host, port)
+        self._look()
+        return f"{host}:{given}"
+
+    def _look(self) -> None:
+        if self.certificate.look():
+            self.front.engine.stats.count("dns", "certificate taken")
+        self.front.engine.deadlines.add(self.front.engine.clock.now() + CERTIFICATE_LOOK, self._look)
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -9,11 +9,16 @@
 import asyncio
 import errno
 import socket
+from collections import Counter
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from threadhill.net.stream import Stream
 from threadhill.net.turns import Host
 
+if TYPE_CHECKING:
+    from ssl import SSLContext
+
 TURN = 16  # connections taken in a turn: what has come on others is read in between
 BACKLOG = 512  # connections that wait in the kernel
 SILENT = 2_200_000  # microseconds in which a first message, or one that has begun, must be whole
@@ -36,14 +41,18 @@
         self.messages = 0
         self.out_at = 0  # when it is aborted, after it was thrown out
         self._began: tuple[int, int] | None = None  # when a message was seen under way, and which one
+        self.group = ""  # whose quota of connections this one is counted on
+        self.came = False  # it came up, so its end tells that it is gone
 
     def opened(self) -> None:
+        self.came = True
         self.door.guests[self] = None
         self.door.engine.stats.count(self.door.name, "opened")
 
     def ended(self) -> None:
         if self.door.guests.pop(self, self) is None:
             self.door.engine.stats.count(self.door.name, "closed")
+        self.door.free(self.group)
         self.left()
 
     def spoken(self) -> None:
@@ -60,7 +69,7 @@
         self.wanted = 1
         if self.transport is not None:
             self.transport.resume_reading()
-            if not len(self.outbound):
+            if not len(self.outbound) and self.transport.can_write_eof():  # TLS has no half that could be closed
                 self.transport.write_eof()
         self.out_at = self.door.engine.clock.now() + LINGER
 
@@ -96,8 +105,13 @@
     """One listener, and all who came in by it."""
 
     def __init__(self, engine: Host, name: str, most: int, make: Callable[[Door], Guest],
-                 log: Callable[[str], None]) -> None:
+                 log: Callable[[str], None], secure: Callable[[], SSLContext] | None = None,
+                 group: Callable[[str], str] | None = None, most_each: int = 0) -> None:
         self.engine, self.name, self.most, self._make, self._log = engine, name, most, make, log
+        self._secure = secure  # the TLS context that a new connection is to have; None: plain
+        # Whose connection one from this address is, "" for nobody's; and how many each may have at once.
+        self._group, self.most_each = group, most_each
+        self._held: Counter[str] = Counter()
         self.guests: dict[Guest, None] = {}
         self._coming: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
@@ -178,7 +192,7 @@
     def _take(self) -> bool:
         """Take one who waits; whether there was one, and there may be another."""
         try:
-            peer, _ = self._socket.accept()
+            peer, address = self._socket.accept()
         except ConnectionAbortedError:
             return True
         except (BlockingIOError, InterruptedError):
@@ -190,16 +204,41 @@
             self._pause(SHORT_AGAIN)
             return False
         peer.setblocking(False)
-        task = self._loop.create_task(self._welcome(peer))
+        group = self._group(address[0]) if self._group is not None else ""
+        if group:
+            if self._held[group] >= self.most_each:
+                self.engine.stats.count(self.name, "over its quota")
+                peer.close()
+                return True
+            self._held[group] += 1
+        task = self._loop.create_task(self._welcome(peer, group))
         self._coming.add(task)
         task.add_done_callback(self._coming.discard)
         return True
 
-    async def _welcome(self, peer: socket.socket) -> None:
+    async def _welcome(self, peer: socket.socket, group: str) -> None:
+        guest = self._make(self)
+        guest.group = group
         try:
-            await self._loop.connect_accepted_socket(lambda: self._make(self), peer)
-        except OSError:  # gone again already
+            if self._secure is None:
+                await self._loop.connect_accepted_socket(lambda: guest, peer)
+            else:  # one that never ends its handshake is as one that says nothing
+                await self._loop.connect_accepted_socket(lambda: guest, peer, ssl=self._secure(),
+                                                         ssl_handshake_timeout=SILENT / 1e6,
+                                                         ssl_shutdown_timeout=LINGER / 1e6)
+        except OSError as error:  # gone again already, or it speaks no TLS that is taken here
+            if self._secure is not None:
+                self.engine.stats.count(self.name, f"no handshake, {type(error).__name__}")
             peer.close()
+            if not guest.came:
+                self.free(group)
+
+    def free(self, group: str) -> None:
+        """A connection of this group is gone."""
+        if group:
+            self._held[group] -= 1
+            if self._held[group] <= 0:
+                del self._held[group]
 
     def _make_room(self) -> bool:
         """End one connection that nothing is lost with: there must always be room for who really asks."""
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -12,7 +12,7 @@
 
 from threadhill.config import BadConfig
 from threadhill.core.tenants import Tenant
-from threadhill.dns.front import DnsConfig
+from threadhill.dns.front import DnsConfig, TlsConfig
 from threadhill.dns.views import View, Views
 from threadhill.documents import Invalid, read_tenants
 from threadhill.hostnames import labels_of
@@ -50,17 +50,18 @@
     for unknown in sorted(set(raw) - {"dns", "admin", "tenants"}):
         raise Malformed(f"{unknown}: no such key")
     dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback",
-                              "responses_per_s", "slip", "resolver_qps", "trusted", "views"})
+                              "responses_per_s", "slip", "resolver_qps", "trusted", "views", "tls",
+                              "per_network"})
     admin = _table(raw, "admin", {"listen", "token_file", "token_env"})
     try:
         tenants = tuple(read_tenants(raw.get("tenants", [])))
     except Invalid as error:
         raise Malformed(str(error)) from None
-    return Operator(_read_dns(dns) if dns is not None else None,
+    return Operator(_read_dns(dns, base) if dns is not None else None,
                     _read_admin(admin, environ, base) if admin is not None else None, tenants)
 
 
-def _read_dns(raw: dict[str, Any]) -> DnsConfig:
+def _read_dns(raw: dict[str, Any], base: Path) -> DnsConfig:
     names = tuple(text(name, "dns.nameservers") for name in sequence(raw.get("nameservers"), "dns.nameservers"))
     for name in names:
         labels_of(name)
@@ -90,7 +91,19 @@
     except ValueError as error:
         raise Malformed(f"dns.views: {error}") from None
     return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections, nsid, fallback,
-                     limits["responses_per_s"], int(limits["slip"]), limits["resolver_qps"], trusted, views)
+                     limits["responses_per_s"], int(limits["slip"]), limits["resolver_qps"], trusted, views,
+                     _read_tls(raw, base), whole(raw.get("per_network", 32), "dns.per_network"))
+
+
+def _read_tls(raw: dict[str, Any], base: Path) -> TlsConfig | None:
+    table = _table(raw, "tls", {"listen", "certificate", "key"})
+    if table is None:
+        return None
+    paths = {key: text(table.get(key), f"dns.tls.{key}") for key in ("certificate", "key")}
+    for key, path in paths.items():
+        if not path:
+            raise Malformed(f"dns.tls.{key}: names a PEM file, from this file's folder")
+    return TlsConfig(address(table.get("listen"), "dns.tls.listen"), base / paths["certificate"], base / paths["key"])
 
 
 def _read_view(raw: Any, i: int) -> View:
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -24,6 +24,7 @@
 from threadhill.net.lines import CacheServers, Limits
 from threadhill.net.resp import Platform
 from threadhill.net.turns import Turns
+from threadhill.settings import Malformed
 
 if TYPE_CHECKING:  # each is imported where the operator's file turns it on: the platform's memory is small
     from threadhill.dns.front import DnsConfig, DnsFront
@@ -62,7 +63,8 @@
     def _limits(self, config: Config) -> Limits:
         """What the caches' side may use: the operator's fronts take their descriptors from it."""
         dns, admin = (self.operator.dns, self.operator.admin) if self.operator is not None else (None, None)
-        taken = (dns.connections if dns is not None else 0) + (ADMINS if admin is not None else 0)
+        taken = dns.connections * (2 if dns.tls is not None else 1) if dns is not None else 0
+        taken += (ADMINS if admin is not None else 0)
         taken += CALLERS if config.management is not None else 0
         return replace(config.limits, descriptors=max(16, config.limits.descriptors - taken))
 
@@ -111,7 +113,13 @@
         front = DnsFront(self.engine, config, frozenset(self.config.settings.classes), self.caches.where,
                          self.caches.families, nodes)
         self.dns = front
-        log.say(f"dns: serving on {await DnsServer(front, log).listen()}")
+        try:
+            server = DnsServer(front, log)
+        except Malformed as error:
+            raise BadConfig(f"dns.tls: {error}") from None
+        log.say(f"dns: serving on {await server.listen()}")
+        if config.tls is not None:
+            log.say(f"dns tls: serving on {await server.listen_tls()}")
 
     async def _serve_admin(self, config: AdminConfig) -> None:
         from threadhill.admin.api import Api
