Sign zones as answers are made, with compact denial; make, check and roll keys by command

Not taken: signing zones beforehand (steered answers have no list), NSEC3 (nothing to hide under made-up names, three records a denial), separate key- and zone-signing keys (twice the files and steps, for a set that all keys sign anyway).

Off unless the operator's file names keys; then alone is cryptography loaded.

--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from pathlib import Path
+from types import ModuleType
 from typing import Annotated, Any, NoReturn
 
 import orjson
@@ -23,6 +25,12 @@
 dns_app = typer.Typer(no_args_is_help=True, help="A proxy's DNS front.")
 app.add_typer(dns_app, name="dns")
 
+key_app = typer.Typer(no_args_is_help=True, help="Zones' signing keys; a running proxy takes up each change itself.")
+dns_app.add_typer(key_app, name="key")
+
+Zone = Annotated[str, typer.Argument(help="the zone's name")]
+Keys = Annotated[Path, typer.Option("--keys", envvar="THREADHILL_KEYS", help="the folder of the keys")]
+Force = Annotated[bool, typer.Option("--force", help="now, whatever resolvers still keep")]
 Address = Annotated[str, typer.Option("--admin", envvar="THREADHILL_ADMIN", help="host:port of a proxy's API")]
 Token = Annotated[str, typer.Option("--token", envvar="THREADHILL_TOKEN", help="the bearer token")]
 Optional = Annotated[str, typer.Option("--admin", envvar="THREADHILL_ADMIN",
@@ -109,6 +117,82 @@
                    f"{row['asked']:>7} {row['heard_ms_ago']:>6} ms")
 
 
+def _keys(call: Callable[[ModuleType], Any]) -> Any:
+    """A call on the key commands, its refusals as errors that are told."""
+    try:
+        from threadhill.dns import key_commands
+        from threadhill.dns.keys import Refused
+        from threadhill.settings import Malformed
+    except ModuleNotFoundError as error:
+        _fail(f"{error}: signing needs requirements-operators.txt")
+    try:
+        return call(key_commands)
+    except (Refused, Malformed, OSError) as error:
+        _fail(error)
+
+
+@key_app.command("generate")
+def key_generate(zone: Zone, keys: Keys) -> None:
+    """Make a zone's first key, which signs from then on; prints the DS record for the parent zone.
+
+    Example: threadhill dns key generate route.example --keys keys
+    """
+    typer.echo(_keys(lambda call: call.ds_line(call.generate(keys, zone))))
+
+
+@key_app.command("list")
+def key_list(keys: Keys, zone: Annotated[str, typer.Argument(help="only this zone's")] = "",
+             json: Json = False) -> None:
+    """All keys: zone, tag, state and since when."""
+    rows = _keys(lambda call: call.listed(keys, zone))
+    if json:
+        _out(rows)
+        return
+    typer.echo(f"{'zone':<32} {'tag':>5} {'state':<10} {'since':>10}")
+    for row in rows:
+        typer.echo(f"{row['zone']:<32} {row['tag']:>5} {row['state']:<10} {row['since_s']:>8} s")
+
+
+@key_app.command("ds")
+def key_ds(zone: Zone, keys: Keys,
+           dnskey: Annotated[bool, typer.Option(help="print DNSKEY records instead")] = False) -> None:
+    """Print the DS records that the parent zone should have, a line each: all but those of retired keys."""
+    for row in _keys(lambda call: call.listed(keys, zone)):
+        if dnskey or row["state"] != "retired":
+            typer.echo(row["dnskey" if dnskey else "ds"])
+
+
+@key_app.command("roll")
+def key_roll(zone: Zone, keys: Keys) -> None:
+    """Begin a roll: a new key is published beside the old one; prints its DS, to be added at the parent zone.
+
+    Then: key activate once resolvers know it and the parent has the DS; key remove once the old DS has run out.
+    """
+    typer.echo(_keys(lambda call: call.ds_line(call.roll(keys, zone))))
+
+
+@key_app.command("activate")
+def key_activate(zone: Zone, tag: Annotated[int, typer.Argument(help="the key's tag")], keys: Keys,
+                 force: Force = False) -> None:
+    """Sign with this key from now on; the one that did is retired. Refused while resolvers may not know it yet."""
+    _keys(lambda call: call.activate(keys, zone, tag, force))
+
+
+@key_app.command("remove")
+def key_remove(zone: Zone, tag: Annotated[int, typer.Argument(help="the key's tag")], keys: Keys,
+               force: Force = False) -> None:
+    """Publish this key no more and delete its file. Refused while resolvers may still need it."""
+    _keys(lambda call: call.remove(keys, zone, tag, force))
+
+
+@key_app.command("check")
+def key_check(keys: Keys) -> None:
+    """Tell what is wrong with the keys, and which step of a roll is next; exit 1 where they cannot be used."""
+    for line in _keys(lambda call: call.check(keys)):
+        typer.echo(line)
+    _keys(lambda call: call.listed(keys))
+
+
 @app.command()
 def validate(path: Annotated[Path, typer.Argument(help="an HCL file, or a folder of them")], var: Vars = [],  # noqa: B006
              var_file: VarFiles = [], json: Json = False) -> None:  # noqa: B006
--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -4,9 +4,11 @@
 
 import ipaddress
 import os
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from threadhill.core.engine import Engine
 from threadhill.core.ports import Answer, Ask, Final
@@ -22,6 +24,9 @@
 from threadhill.dns.views import View, Views
 from threadhill.hostnames import BOXES, labels_of
 
+if TYPE_CHECKING:  # the cryptography package is loaded where a zone is signed
+    from threadhill.dns.signing import Signer
+
 GRANT = 200_000  # microseconds in which a server that a record named may be looked up; under the drain limit
 GRANTS = 4_096  # of them remembered at most
 SOA_TIMES = (3_600, 600, 86_400, 0)  # refresh, retry, expire, and 0: no negative answer is kept
@@ -57,6 +62,8 @@
     trusted: tuple[str, ...] = ()  # networks whose addresses count as proven: the operator's own resolvers
     views: tuple[View, ...] = ()  # which clients are answered with which node's servers
     tls: TlsConfig | None = None  # where it answers over TLS as well, and with which certificate
+    keys: Path | None = None  # the folder of the zones' signing keys; a zone without one is not signed
+    signature_life: int = 3_600  # seconds for which a signature is good at the least
     per_network: int = 32  # connections that one network may hold at once, over TCP and over TLS each; 0: no limit
 
 
@@ -89,11 +96,11 @@
 
     def __init__(self, engine: Engine, config: DnsConfig, classes: frozenset[str],
                  where: Callable[[int], Where | None], families: Callable[[], set[int]],
-                 nodes: dict[str, Engine] | None = None) -> None:
+                 nodes: dict[str, Engine] | None = None, signer: Signer | None = None) -> None:
         self.engine, self.config, self.classes = engine, config, classes
         self.views = Views(list(config.views), engine.router.set.zone)
         self.nodes = {engine.router.set.zone: engine, **(nodes or {})}  # an engine of its own for each view's node
-        self.where, self.families = where, families
+        self.where, self.families, self.signer = where, families, signer
         self.pending: Slots[Pending] = Slots()
         self._grants: dict[tuple[str, int], tuple[int, int]] = {}  # (box, number) -> (server, until when)
         self._granted = 0
@@ -132,6 +139,10 @@
                 Extended.PROHIBITED, "zone transfers and classes other than IN are not served")
             self._reply(query, Response(Code.REFUSED, authoritative=False, error=error), asker)
             return None
+        if query.type == Type.NXNAME:  # RFC 9824, section 3.5
+            error = (Extended.INVALID_TYPE, "NXNAME stands in denials only")
+            self._reply(query, Response(Code.FORMERR, error=error), asker)
+            return None
         at = place(query.name, zone, self.engine.tenants, self.classes)
         if at.kind in (Kind.TARGET, Kind.SERVICE) and self._steers(query, at):
             subnet = query.options.subnet
@@ -211,7 +222,7 @@
             # It keeps what it is told past any drain: only a name of the operator's that does not drain will do.
             self.engine.stats.count("dns", "fallback")
             fallback = Record(Type.CNAME, (labels_of(self.config.fallback),))
-            self._reply(pending.query, Response(answers=[fallback]), pending.peer)
+            self._reply(pending.query, Response(answers=[fallback], zone=at.zone), pending.peer)
             return None
         weight = self.charging.weight(pending.resolver, at.cls, now)
         ref = self.pending.add(pending)
@@ -251,6 +262,8 @@
             response.keepalive = KEEPALIVE
         if query.options.cookie is not None and peer.address:
             response.cookie = self.cookies.answer(query.options.cookie, peer.address, self.engine.clock.now() // SECOND)
+        if self.signer is not None and query.dnssec and response.zone:
+            self.signer.sign(query, response, int(time.time()))  # others' clocks judge it: the Unix time of now
         if peer.secure and query.options.padding:  # never in the clear (RFC 7830, section 6)
             response.padded = PAD
         if peer.stream:
@@ -271,13 +284,16 @@
         address = records.address(host)
         if query.type not in NAMING:
             fits = address is not None and address.type == query.type
-            return Response(answers=[address]) if fits else self._nothing(pending.place.zone)
+            if not fits:
+                return self._nothing(pending.place.zone, self._types(pending.place))
+            return Response(answers=[address], zone=pending.place.zone)
         target = (name, BOXES, *labels_of(pending.place.zone))
         self._grant(name, server)
         more = [] if address is None else [Record(address.type, address.data, target)]
         if query.type == Type.SRV:
-            return Response(answers=[records.srv(port, target)], additional=more)
-        return Response(answers=[records.service(query.type, port, target, address)], additional=more)
+            return Response(answers=[records.srv(port, target)], additional=more, zone=pending.place.zone)
+        return Response(answers=[records.service(query.type, port, target, address)], additional=more,
+                        zone=pending.place.zone)
 
     def _grant(self, box: str, server: int) -> None:
         """A look-up of this target belongs to the answer just given, and is not charged a second time."""
@@ -295,28 +311,51 @@
             elif key[0] == at.box and (where := self.where(server)) is not None:
                 address = records.address(where[1])
                 if address is None or query.type != address.type:
-                    return self._nothing(at.zone)
+                    return self._nothing(at.zone, (address.type,) if address is not None else ())
                 del self._grants[key]
-                return Response(answers=[address])
-        return Response(Code.NXDOMAIN, authority=[self._soa(at.zone)])
+                return Response(answers=[address], zone=at.zone)
+        return self._no_name(at.zone)
 
     def _plain(self, query: Query, at: Place) -> Response:
         """What needs no server."""
         if at.kind is Kind.NONE:
-            return Response(Code.NXDOMAIN, authority=[self._soa(at.zone)])
+            return self._no_name(at.zone)
         if at.kind is Kind.BOX:
             return self._box(at, query)
         if query.type == Type.ANY:  # RFC 8482, section 4.2: a small answer instead of all there is
-            return Response(answers=[Record(Type.HINFO, b"\x07RFC8482\x00")])
-        if at.kind is Kind.APEX and query.type == Type.SOA:
-            return Response(answers=[self._soa(at.zone, apex=True)])
-        if at.kind is Kind.APEX and query.type == Type.NS and self.config.nameservers:
-            return Response(answers=[Record(Type.NS, (labels_of(name),)) for name in self.config.nameservers])
-        return self._nothing(at.zone)
-
-    def _nothing(self, zone: str) -> Response:
-        """The name exists, but nothing of this type."""
-        return Response(authority=[self._soa(zone)])
+            return Response(answers=[Record(Type.HINFO, b"\x07RFC8482\x00")], zone=at.zone)
+        if at.kind is Kind.APEX:
+            found = self._apex(at.zone, query.type)
+            if found:
+                return Response(answers=found, zone=at.zone)
+        return self._nothing(at.zone, self._types(at))
+
+    def _apex(self, zone: str, kind: int) -> list[Record]:
+        """What stands at a zone's own name."""
+        if kind == Type.SOA:
+            return [self._soa(zone, apex=True)]
+        if kind == Type.NS:
+            return [Record(Type.NS, (labels_of(name),)) for name in self.config.nameservers]
+        return self.signer.apex(zone, kind) if self.signer is not None else []
+
+    def _types(self, at: Place) -> tuple[int, ...]:
+        """The types that are at a name, for who denies another one there."""
+        if at.kind is Kind.TARGET:
+            family = {4: Type.A, 6: Type.AAAA}
+            return (*(family[version] for version in sorted(self.families())), Type.SVCB, Type.HTTPS)
+        if at.kind is Kind.SERVICE:
+            return (Type.SRV,)
+        if at.kind is Kind.APEX:
+            return tuple(kind for kind in (Type.SOA, Type.NS, Type.DNSKEY, Type.CDS, Type.CDNSKEY)
+                         if self._apex(at.zone, kind))
+        return ()
+
+    def _nothing(self, zone: str, exists: tuple[int, ...] = ()) -> Response:
+        """The name exists, but nothing of this type; `exists` are those that there are."""
+        return Response(authority=[self._soa(zone)], zone=zone, exists=exists)
+
+    def _no_name(self, zone: str) -> Response:
+        return Response(Code.NXDOMAIN, authority=[self._soa(zone)], zone=zone, exists=())
 
     def _soa(self, zone: str, apex: bool = False) -> Record:
         labels = labels_of(zone)
--- /dev/null
+++ b/threadhill/dns/key_commands.py
@@ -0,0 +1,103 @@
+"""The commands for zones' signing keys: `threadhill dns key ...`. A running proxy takes up each change by itself."""
+
+from __future__ import annotations
+
+import base64
+import time
+from pathlib import Path
+from typing import Any
+
+from threadhill.dns import keys
+from threadhill.dns.keys import ALGORITHM, FLAGS, KEY_TTL, PROTOCOL, SETTLE, SHA256, Key, Refused, State
+from threadhill.hostnames import labels_of
+from threadhill.settings import Malformed
+
+
+def _zone(zone: str) -> str:
+    try:
+        return ".".join(labels_of(zone))
+    except (ValueError, UnicodeError):
+        raise Refused(f"{zone!r} is no domain name") from None
+
+
+def _keys(folder: Path, zone: str) -> list[Key]:
+    found = keys.read_folder(folder).get(zone, [])
+    if not found:
+        raise Refused(f"{folder}: no key of {zone}; make one with `threadhill dns key generate {zone}`")
+    return found
+
+
+def ds_line(key: Key) -> str:
+    """The DS record as a parent's zone file has it."""
+    return f"{key.zone}. IN DS {key.tag} {ALGORITHM} {SHA256} {key.ds[4:].hex().upper()}"
+
+
+def dnskey_line(key: Key) -> str:
+    return f"{key.zone}. {KEY_TTL} IN DNSKEY {FLAGS} {PROTOCOL} {ALGORITHM} " \
+           + base64.b64encode(key.rdata[4:]).decode()
+
+
+def row(key: Key, now: int) -> dict[str, Any]:
+    return {"zone": key.zone, "tag": key.tag, "state": key.state.value, "created": key.created,
+            "since_s": now - key.changed, "ds": ds_line(key), "dnskey": dnskey_line(key)}
+
+
+def generate(folder: Path, zone: str) -> Key:
+    """The first key of a zone, which signs from now on."""
+    zone = _zone(zone)
+    folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+    if keys.read_folder(folder).get(zone):
+        raise Refused(f"{zone} has a key already; `threadhill dns key roll {zone}` makes the next one")
+    key = keys.generate(zone, State.ACTIVE, int(time.time()))
+    keys.write(folder, key)
+    return key
+
+
+def listed(folder: Path, zone: str = "") -> list[dict[str, Any]]:
+    now = int(time.time())
+    found = keys.read_folder(folder)
+    chosen = {_zone(zone): _keys(folder, _zone(zone))} if zone else found
+    return [row(key, now) for _, of_zone in sorted(chosen.items()) for key in of_zone]
+
+
+def roll(folder: Path, zone: str) -> Key:
+    zone = _zone(zone)
+    (key,) = keys.roll(zone, _keys(folder, zone), int(time.time()))
+    keys.write(folder, key)
+    return key
+
+
+def activate(folder: Path, zone: str, tag: int, force: bool) -> None:
+    zone = _zone(zone)
+    changed = keys.activate(_keys(folder, zone), tag, int(time.time()), force)
+    for key in changed:  # the new one first: with both active, whoever reads takes the one that was last
+        keys.write(folder, key)
+
+
+def remove(folder: Path, zone: str, tag: int, force: bool) -> None:
+    zone = _zone(zone)
+    key = keys.removable(_keys(folder, zone), tag, int(time.time()), force)
+    (folder / key.file_name).unlink()
+
+
+def check(folder: Path) -> list[str]:
+    """What is wrong with the keys of a folder, and what waits for its next step; nothing where all is well."""
+    try:
+        zones = keys.read_folder(folder)
+    except (Malformed, OSError) as error:
+        return [str(error)]
+    now, told = int(time.time()), []
+    for zone, of_zone in sorted(zones.items()):
+        for key in of_zone:
+            left = key.changed + SETTLE - now
+            if key.state is State.PUBLISHED:
+                when = f"in {left} s" if left > 0 else "now"
+                told.append(f"{zone}: key {key.tag} is published and may be activated {when}, once the parent has "
+                            "its DS")
+            elif key.state is State.RETIRED:
+                when = f"in {left} s" if left > 0 else "now"
+                told.append(f"{zone}: key {key.tag} is retired and may be removed {when}, once the parent's old DS is "
+                            "gone and has run out")
+            if key.created > now + 300:
+                told.append(f"{zone}: key {key.tag} was made in the future: set this machine's clock")
+    return told
--- /dev/null
+++ b/threadhill/dns/keys.py
@@ -0,0 +1,227 @@
+"""Zones' signing keys: ECDSA P-256 (RFC 6605), one key a zone that signs both its records and its DNSKEY set.
+
+A key is one JSON file, readable by its owner only. It is `published` (resolvers learn it, it signs the DNSKEY set),
+`active` (it signs everything) or `retired` (still published, for who keeps older sets). Rolling goes through these
+states by command, each no sooner than what resolvers keep has run out: a signature must always find its key.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import stat
+import struct
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from enum import Enum
+from pathlib import Path
+
+from cryptography.exceptions import UnsupportedAlgorithm
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+
+from threadhill.dns.message import pack_name
+from threadhill.hostnames import labels_of
+from threadhill.settings import Malformed
+
+ALGORITHM = 13  # ECDSAP256SHA256 (RFC 6605, section 4)
+FLAGS = 257  # a zone key that is a secure entry point
+PROTOCOL = 3
+SHA256 = 2  # digest type of DS records (RFC 4509)
+KEY_TTL = 300  # seconds for which resolvers may keep a DNSKEY set
+SETTLE = 2 * KEY_TTL  # seconds that a published or retired key stays so at the least: all have heard by then
+MOST_FILE = 16 << 10
+MOST_KEYS = 8  # of one zone
+
+
+class State(Enum):
+    PUBLISHED = "published"
+    ACTIVE = "active"
+    RETIRED = "retired"
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """One key of a zone."""
+
+    zone: str
+    state: State
+    created: int  # Unix seconds
+    changed: int  # when it came into its state
+    private: ec.EllipticCurvePrivateKey
+
+    @property
+    def rdata(self) -> bytes:
+        """Of its DNSKEY record (RFC 4034, section 2.1; RFC 6605, section 4)."""
+        numbers = self.private.public_key().public_numbers()
+        return struct.pack("!HBB", FLAGS, PROTOCOL, ALGORITHM) + numbers.x.to_bytes(32, "big") \
+            + numbers.y.to_bytes(32, "big")
+
+    @property
+    def tag(self) -> int:
+        """RFC 4034, appendix B."""
+        data = self.rdata
+        total = sum(byte << 8 if i % 2 == 0 else byte for i, byte in enumerate(data))
+        return total + (total >> 16) & 0xFFFF
+
+    @property
+    def ds(self) -> bytes:
+        """The data of the DS record that its parent zone is to have (RFC 4034, section 5.1.4)."""
+        digest = hashlib.sha256(pack_name(labels_of(self.zone)) + self.rdata).digest()
+        return struct.pack("!HBB", self.tag, ALGORITHM, SHA256) + digest
+
+    @property
+    def file_name(self) -> str:
+        return f"K{self.zone}.+{ALGORITHM:03}+{self.tag:05}.json"
+
+
+def generate(zone: str, state: State, now: int) -> Key:
+    """A new key."""
+    return Key(".".join(labels_of(zone)), state, now, now, ec.generate_private_key(ec.SECP256R1()))
+
+
+def write(folder: Path, key: Key) -> Path:
+    """Put the key's file in place, whole and readable by its owner only from its first byte on."""
+    pem = key.private.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
+                                    serialization.NoEncryption()).decode()
+    text = json.dumps({"zone": key.zone, "algorithm": ALGORITHM, "tag": key.tag, "state": key.state.value,
+                       "created": key.created, "changed": key.changed, "private": pem}, indent=2)
+    path = folder / key.file_name
+    beside = path.with_suffix(".new")
+    beside.unlink(missing_ok=True)
+    with os.fdopen(os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "w") as file:
+        file.write(text + "\n")
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(beside, path)
+    return path
+
+
+def read(path: Path) -> Key:
+    """One key file; Malformed says what is wrong with it and what to do."""
+    found = os.stat(path)
+    if found.st_mode & (stat.S_IRWXG | stat.S_IRWXO):
+        raise Malformed(f"{path}: others than its owner may read or write it (mode {stat.S_IMODE(found.st_mode):04o}); "
+                        f"chmod 600 {path}")
+    if found.st_size > MOST_FILE:
+        raise Malformed(f"{path}: has over {MOST_FILE} bytes, which is no key")
+    try:
+        raw = json.loads(path.read_text())
+        private = serialization.load_pem_private_key(raw["private"].encode(), None)
+        if not isinstance(private, ec.EllipticCurvePrivateKey) or private.curve.name != "secp256r1":
+            raise ValueError("its private key is not ECDSA P-256")
+        key = Key(".".join(labels_of(raw["zone"])), State(raw["state"]), int(raw["created"]), int(raw["changed"]),
+                  private)
+    except (ValueError, KeyError, TypeError, AttributeError, UnsupportedAlgorithm) as error:
+        raise Malformed(f"{path}: not a key file ({str(error)[:120] or type(error).__name__}); put back a copy of it, "
+                        "or remove it and roll the zone's key") from None
+    if raw.get("algorithm") != ALGORITHM or raw.get("tag") != key.tag or path.name != key.file_name:
+        raise Malformed(f"{path}: name, tag and algorithm do not fit its private key, whose file is {key.file_name}")
+    return key
+
+
+def read_folder(folder: Path) -> dict[str, list[Key]]:
+    """All keys by zone, the active one first; Malformed where the set of a zone cannot be used."""
+    if not folder.is_dir():
+        raise Malformed(f"{folder}: no such folder; make one with `threadhill dns key generate ZONE --keys {folder}`")
+    zones: dict[str, list[Key]] = {}
+    for path in sorted(folder.glob("K*.json")):
+        key = read(path)
+        zones.setdefault(key.zone, []).append(key)
+    for zone, keys in zones.items():
+        active = sorted((key for key in keys if key.state is State.ACTIVE), key=lambda key: key.changed)
+        if not active or len(keys) > MOST_KEYS or len({key.tag for key in keys}) < len(keys):
+            raise Malformed(f"{folder}: zone {zone} has {len(keys)} keys of which {len(active)} are active: one must "
+                            f"be, of {MOST_KEYS} at most with different tags")
+        # An activation that was cut off between its two files leaves two: the last one counts.
+        keys[:] = [replace(key, state=State.RETIRED) if key in active[:-1] else key for key in keys]
+        keys.sort(key=lambda key: (key.state is not State.ACTIVE, key.created, key.tag))
+    return zones
+
+
+class Refused(Exception):
+    """A step of a roll that would leave signatures without their key; the text says when it may be taken."""
+
+
+def _of(keys: list[Key], tag: int) -> Key:
+    key = next((key for key in keys if key.tag == tag), None)
+    if key is None:
+        raise Refused(f"no key with tag {tag}; there are {', '.join(str(k.tag) for k in keys) or 'none'}")
+    return key
+
+
+def _settled(key: Key, now: int, force: bool) -> None:
+    left = key.changed + SETTLE - now
+    if left > 0 and not force:
+        raise Refused(f"key {key.tag} is {key.state.value} since {now - key.changed} s: resolvers may keep older "
+                      f"DNSKEY sets for {left} s more")
+
+
+def roll(zone: str, keys: list[Key], now: int) -> list[Key]:
+    """The first step: a new key that is published. The keys that changed."""
+    if any(key.state is State.PUBLISHED for key in keys):
+        raise Refused(f"a roll of {zone} is under way; activate or remove its published key first")
+    if len(keys) >= MOST_KEYS:
+        raise Refused(f"{zone} has {len(keys)} keys: remove a retired one first")
+    taken = {key.tag for key in keys}
+    new = generate(zone, State.PUBLISHED, now)
+    while new.tag in taken:  # two keys of one tag could not be told apart by their files
+        new = generate(zone, State.PUBLISHED, now)
+    return [new]
+
+
+def activate(keys: list[Key], tag: int, now: int, force: bool = False) -> list[Key]:
+    """The second step: this key signs from now on, the one that did is retired."""
+    key = _of(keys, tag)
+    if key.state is State.ACTIVE:
+        return []
+    if key.state is State.PUBLISHED:
+        _settled(key, now, force)
+    return [replace(key, state=State.ACTIVE, changed=now),
+            *(replace(k, state=State.RETIRED, changed=now) for k in keys if k.state is State.ACTIVE)]
+
+
+def removable(keys: list[Key], tag: int, now: int, force: bool = False) -> Key:
+    """The last step: this key is published no more. One that never signed may go at once."""
+    key = _of(keys, tag)
+    if key.state is State.ACTIVE:
+        raise Refused(f"key {tag} is active: activate another one first")
+    if key.state is State.RETIRED:
+        _settled(key, now, force)
+    return key
+
+
+class KeyFolder:
+    """The keys of a folder as they are in use; `look` takes them anew when a file changed."""
+
+    def __init__(self, folder: Path, log: Callable[[str], None]) -> None:
+        self.folder, self.log = folder, log
+        self._seen = self._stamps()
+        self.zones: Mapping[str, list[Key]] = read_folder(folder)
+
+    def _stamps(self) -> list[tuple[str, int, int, int]]:
+        stamps = []
+        for path in sorted(self.folder.glob("K*.json")):
+            try:
+                found = os.stat(path)
+            except OSError:
+                continue  # removed meanwhile
+            stamps.append((path.name, found.st_ino, found.st_size, found.st_mtime_ns))
+        return stamps
+
+    def look(self) -> bool:
+        """Whether other keys were taken. A set that cannot be used is told once and changes nothing."""
+        stamps = self._stamps()
+        if stamps == self._seen:
+            return False
+        self._seen = stamps
+        try:
+            self.zones = read_folder(self.folder)
+        except (Malformed, OSError) as error:
+            self.log(f"dns keys: {error}; the keys taken before stay in use")
+            return False
+        self.log("dns keys: " + "; ".join(f"{zone} {', '.join(f'{k.tag} {k.state.value}' for k in keys)}"
+                                          for zone, keys in sorted(self.zones.items())))
+        return True
+
--- a/threadhill/dns/message.py
+++ b/threadhill/dns/message.py
@@ -16,6 +16,7 @@
 PLAIN_UDP = 512  # bytes of a UDP response without EDNS
 OUR_UDP = 1_232  # what the answering side takes and sends with it
 DO = 0x8000
+CO = 0x4000  # the asker knows of compact denial and wants NXDOMAIN told with it (RFC 9824, section 5.1)
 FARTHEST = 0x3FFF  # where a compression pointer can point to
 NO_OPTIONS = Options()  # of all queries without any
 OPT_HEAD = 11  # bytes of an OPT record before its options
@@ -29,14 +30,24 @@
     CNAME = 5
     SOA = 6
     HINFO = 13
+    MX = 15
+    TXT = 16
     AAAA = 28
     SRV = 33
     OPT = 41
+    RRSIG = 46
+    NSEC = 47
+    DNSKEY = 48
+    CDS = 59
+    CDNSKEY = 60
     SVCB = 64
     HTTPS = 65
+    NXNAME = 128  # stands in denials only (RFC 9824)
+    TSIG = 250
     IXFR = 251
     AXFR = 252
     ANY = 255
+    CAA = 257
 
 
 class Code(IntEnum):
@@ -75,6 +86,7 @@
     cls: int = IN
     edns: bool = False
     dnssec: bool = False
+    compact: bool = False  # CO
     payload: int = PLAIN_UDP
     options: Options = NO_OPTIONS
     size: int = 0  # bytes that it came in
@@ -82,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """A record whose TTL is 0: no answer may outlive a drain.
+    """A record. What names a server has the TTL 0: no answer may outlive a drain.
 
     `data` is bytes, or pieces of which those that are labels may be compressed (RFC 3597, section 4: only in the types
     of RFC 1035). `owner` is its name; none stands for the question's.
@@ -91,6 +103,7 @@
     type: int
     data: bytes | tuple[bytes | Labels, ...]
     owner: Labels | None = None
+    ttl: int = 0
 
 
 @dataclass(slots=True)
@@ -108,6 +121,8 @@
     keepalive: int | None = None  # tenths of a second that an idle connection stays (RFC 7828)
     cookie: bytes | None = None  # the client's cookie and the server's (RFC 7873, section 5.2)
     padded: int = 0  # the response's length is a multiple of so many bytes (RFC 8467, section 4.1); 0: not padded
+    zone: str = ""  # whose records these are, for who signs them
+    exists: tuple[int, ...] | None = None  # of a negative answer: the types that are at the name; () where none
     truncated: bool = False  # nothing but the header and the question, and TC set: ask again over TCP
 
 
@@ -160,7 +175,7 @@
         if query.edns or named:
             raise ValueError("a second OPT, or one with a name")
         query.edns, query.payload = True, max(PLAIN_UDP, cls)
-        query.dnssec = bool(ttl & DO)
+        query.dnssec, query.compact = bool(ttl & DO), bool(ttl & CO)
         if ttl >> 16 & 0xFF:
             raise Bad(Code.BADVERS, query)
         query.options = options.read_options(raw[at + 10 : end])
@@ -232,9 +247,9 @@
         else:
             self.name(record.owner)
         if isinstance(record.data, bytes):
-            self.raw += struct.pack("!HHIH", record.type, IN, 0, len(record.data)) + record.data
+            self.raw += struct.pack("!HHIH", record.type, IN, record.ttl, len(record.data)) + record.data
             return
-        self.raw += struct.pack("!HHIH", record.type, IN, 0, 0)
+        self.raw += struct.pack("!HHIH", record.type, IN, record.ttl, 0)
         at = len(self.raw) - 2
         for piece in record.data:
             if isinstance(piece, bytes):
--- a/threadhill/dns/options.py
+++ b/threadhill/dns/options.py
@@ -30,6 +30,7 @@
     PROHIBITED = 18
     NOT_READY = 14
     NOT_AUTHORITATIVE = 20
+    INVALID_TYPE = 30  # RFC 9824, section 8
 
 
 @dataclass(frozen=True, slots=True)
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -18,6 +18,8 @@
 from threadhill.hostnames import labels_of
 from threadhill.settings import Malformed, address, mapping, number, sequence, text, whole
 
+SIGNATURE_LIFE = 3_600  # seconds
+
 
 @dataclass(frozen=True, slots=True)
 class AdminConfig:
@@ -51,7 +53,7 @@
         raise Malformed(f"{unknown}: no such key")
     dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback",
                               "responses_per_s", "slip", "resolver_qps", "trusted", "views", "tls",
-                              "per_network"})
+                              "per_network", "signing"})
     admin = _table(raw, "admin", {"listen", "token_file", "token_env"})
     try:
         tenants = tuple(read_tenants(raw.get("tenants", [])))
@@ -92,7 +94,18 @@
         raise Malformed(f"dns.views: {error}") from None
     return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections, nsid, fallback,
                      limits["responses_per_s"], int(limits["slip"]), limits["resolver_qps"], trusted, views,
-                     _read_tls(raw, base), whole(raw.get("per_network", 32), "dns.per_network"))
+                     _read_tls(raw, base), *_read_signing(raw, base),
+                     whole(raw.get("per_network", 32), "dns.per_network"))
+
+
+def _read_signing(raw: dict[str, Any], base: Path) -> tuple[Path | None, int]:
+    table = _table(raw, "signing", {"keys", "life_s"})
+    if table is None:
+        return None, SIGNATURE_LIFE
+    life = whole(table.get("life_s"), "dns.signing.life_s") or SIGNATURE_LIFE
+    if not 300 <= life <= 14 * 86_400:
+        raise Malformed("dns.signing.life_s: is from 300 to 1209600 seconds")
+    return base / text(table.get("keys"), "dns.signing.keys"), life
 
 
 def _read_tls(raw: dict[str, Any], base: Path) -> TlsConfig | None:
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:  # each is imported where the operator's file turns it on: the platform's memory is small
     from threadhill.dns.front import DnsConfig, DnsFront
+    from threadhill.dns.signing import Signer
     from threadhill.operators import AdminConfig, Operator
 
 SERVE_ON = 700_000  # microseconds after SIGTERM in which requests still come and are taken
@@ -36,6 +37,7 @@
 CALLERS = 32  # connections to the operators' address at once
 CORDONS_LOOK = 200_000  # microseconds between looks whether another process of this proxy was told of cordons
 CORDONS_KEEP = 60_000_000  # microseconds for which one put back is told as cold to a process that starts later
+KEYS_LOOK = 500_000  # microseconds between looks whether a zone's keys changed
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
 LONGEST = 3_000_000  # microseconds of the longest deadline, where the classes' are shorter
 KILL_LONGEST = 3_000_000  # microseconds of the longest deadline as SIGKILL counts it where the classes' are longer
@@ -110,8 +112,9 @@
                                  self.stats, log)
             nodes[node].start(None)
             self.engine.follow(nodes[node])
+        signer = self._signer(config) if config.keys is not None else None
         front = DnsFront(self.engine, config, frozenset(self.config.settings.classes), self.caches.where,
-                         self.caches.families, nodes)
+                         self.caches.families, nodes, signer)
         self.dns = front
         try:
             server = DnsServer(front, log)
@@ -121,6 +124,26 @@
         if config.tls is not None:
             log.say(f"dns tls: serving on {await server.listen_tls()}")
 
+    def _signer(self, config: DnsConfig) -> Signer:
+        """Signs for the zones whose keys are in the operator's folder, and takes new keys as they are put there."""
+        from threadhill.dns.keys import KeyFolder
+        from threadhill.dns.signing import Signer
+
+        try:
+            folder = KeyFolder(config.keys, log)
+        except Malformed as error:
+            raise BadConfig(f"dns.signing: {error}") from None
+        signer = Signer(folder.zones, config.signature_life)
+
+        def look() -> None:
+            if folder.look():
+                signer.take(folder.zones)
+                self.stats.count("dns", "keys taken")
+            self.deadlines.add(self.clock.now() + KEYS_LOOK, look)
+
+        look()
+        return signer
+
     async def _serve_admin(self, config: AdminConfig) -> None:
         from threadhill.admin.api import Api
         from threadhill.admin.http import HttpConnection
