--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -285,7 +285,7 @@
                                             handed=True))
         due = now + max(1, hold)
         self.deadlines.add(due, lambda: self.ended(attempt, Ended(api.Outcome.HANDED_OVER)))
-        self._finish(handle, Answer(Final.SERVED, server=server))
+        self._finish(handle, Answer(Final.SERVED, server=server, hold=hold))
 
     def _overdue(self, attempt: int) -> None:
         """Its time is over: given up at the server. Where nothing of it was written it cannot have run."""
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -47,6 +47,7 @@
     same: bool = False
     come_back: int = 0  # microseconds that a refused client is to stay away
     server: int = -1  # of a request that is handed over: the server to go to
+    hold: int = 0  # and the microseconds that a request takes there, as the module reckons
 
 
 @dataclass(slots=True)
--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -204,15 +204,15 @@
         draw, part = self.random.random(), self.random.random()
         fit, source = self.fit(ready, job.work, job.ask.weight), self.source(job)
         if job.ask.hand_over:  # nothing comes back of it, so it is no trial of one that was ejected
-            fit = [s for s in fit if not s.ejections]
-            source = source if source is None or not source.ejections else None
+            fit, source = [s for s in fit if not s.ejections], source if source and not source.ejections else None
         if not fit and self.set.direct and source is not None and source.open + part < source.room:
             may = self.in_scope(job, source) and draw < self.in_time_chance(job, source)
             behind = self.fleet.origin or source  # a parent that is its own source gives only what it holds
             return (source, behind) if may else None
         # Guard 8: full caches refuse. Sending past them would only move the crowd to link and origin.
         quick = [s for s in fit if draw < self.in_time_chance(job, s)]
-        usable = [s for s in quick if s.open + part * job.ask.weight < s.room]
+        blind = self.room_first if job.ask.hand_over else -1  # a room that is but a guess refuses no such client
+        usable = [s for s in quick if s.open + part * job.ask.weight < s.room or not s.heard and s.room == blind]
         if not usable and not job.ask.hand_over:
             # What fills the rooms may be waiting for a slow origin. What is held needs none of that: only a look.
             usable, source = [s for s in quick if s.open + part < LOOKS * s.room], None
--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import lru_cache
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -63,6 +64,7 @@
     responses_per_s: float = 100.0  # over UDP, to one network without a cookie of ours; 0: no limit
     slip: int = 2  # of the responses that are over it, every so many is sent truncated; 0: none
     resolver_qps: float = 500.0  # queries of one resolver that reach the module each second; 0: no limit
+    unproven_qps: float = 1_000.0  # queries that reach the module from all unproven addresses together; 0: no limit
     trusted: tuple[str, ...] = ()  # networks whose addresses count as proven: the operator's own resolvers
     views: tuple[View, ...] = ()  # which clients are answered with which node's servers
     tls: TlsConfig | None = None  # where it answers over TLS as well, and with which certificate
@@ -114,7 +116,8 @@
         self.statics = Statics(engine.tenants)
         self.charging = Charging()
         self.cookies = Cookies(os.urandom(16))  # a new secret at each start: cookies of the old one are made anew
-        self.limits = Limits(config.responses_per_s, config.slip, config.resolver_qps)
+        self.limits = Limits(config.responses_per_s, config.slip, config.resolver_qps, config.unproven_qps)
+        self._trusted = lru_cache(4_096)(self._is_trusted)
         self._networks = [ipaddress.ip_network(network, strict=False) for network in config.trusted]
         engine.watchers.append(lambda server, brought: self.charging.reported(server, brought, engine.clock.now()))
 
@@ -167,6 +170,10 @@
                 # asks from an address that is not proven is told to come over TCP, or with the cookie it is sent.
                 self._reply(query, Response(truncated=True), asker)
                 return None
+            if not proven and not self.limits.may_reach(now):
+                self.engine.stats.count("dns", "over the budget of the unproven")
+                self._reply(query, Response(truncated=True), asker)
+                return None
             if not self.limits.may_ask(resolver_key(peer), now):
                 self.engine.stats.count("dns", "over the resolver's budget")
                 error = (Extended.PROHIBITED, "this resolver asks for more than its share; come back in a second")
@@ -180,7 +187,7 @@
         """Whose quota of connections one from this address counts on; "" for the operator's own resolvers."""
         return "" if self._trusted(peer) else resolver_key(peer)
 
-    def _trusted(self, peer: str) -> bool:
+    def _is_trusted(self, peer: str) -> bool:
         if not self._networks or not peer:
             return False
         try:
@@ -238,7 +245,7 @@
             fallback = Record(Type.CNAME, (labels_of(self.config.fallback),))
             self._reply(pending.query, Response(answers=[fallback], zone=at.zone), pending.peer)
             return None
-        weight = self.charging.weight(pending.resolver, at.cls, now)
+        weight = self.charging.weight(pending.resolver, at.cls, now, f"{at.object}/{at.part}")
         ref = self.pending.add(pending)
         handle = engine.ask(self, ref, Ask(os.urandom(8).hex(), at.cls, at.object, self.config.deadline,
                                            at.part, tenant=at.tenant, hand_over=True, weight=weight))
@@ -254,7 +261,8 @@
             return
         where = self.where(answer.server) if answer.final is Final.SERVED else None
         if where is not None:
-            self.charging.answered(pending.resolver, pending.place.cls, answer.server, self.engine.clock.now())
+            self.charging.answered(pending.resolver, pending.place.cls, answer.server, self.engine.clock.now(),
+                                   answer.hold)
             response = self._named(pending, answer.server, where)
         elif answer.final is Final.REFUSED:
             wait = f"; come back in {-(-answer.come_back // 1_000)} ms" if answer.come_back else ""
--- a/threadhill/dns/limits.py
+++ b/threadhill/dns/limits.py
@@ -59,10 +59,12 @@
 class Limits:
     """The front's limits. A rate of 0 turns that limit off."""
 
-    def __init__(self, responses: float = 50.0, slip: int = 2, resolver_queries: float = 500.0) -> None:
+    def __init__(self, responses: float = 50.0, slip: int = 2, resolver_queries: float = 500.0,
+                 unproven: float = 0.0) -> None:
         self.responses = Buckets(responses, 2 * responses) if responses else None
         self.slip = slip
         self.queries = Buckets(resolver_queries, 2 * resolver_queries) if resolver_queries else None
+        self.unproven = Buckets(unproven, unproven) if unproven else None  # of all unproven addresses together
 
     def response(self, network: str, proven: bool, now: int) -> Send:
         """Whether an answer over UDP to this network is sent, truncated, or dropped."""
@@ -73,6 +75,11 @@
         refused = self.responses.buckets[network].refused
         return Send.SLIP if self.slip and refused % self.slip == 0 else Send.DROP
 
+    def may_reach(self, now: int) -> bool:
+        """Whether one more query from an address that proved nothing may reach the module now. A flood in the names
+        of many networks passes the rate of each; what is over this is told to come over TCP, as real ones can."""
+        return self.unproven is None or self.unproven.take("", now) is not None
+
     def may_ask(self, resolver: str, now: int) -> bool:
         """Whether one more query of this resolver may reach the module now: a flood of made-up names costs routing
         as real ones do, and must cost only its own resolver's share."""
--- a/threadhill/dns/names.py
+++ b/threadhill/dns/names.py
@@ -57,15 +57,15 @@
             return none
         return Place(Kind.BOX, zone, box=left[0]) if len(left) == 2 else Place(Kind.EMPTY, zone)
     tenant = tenants.by_name.get(left[-1])
-    checks = (  # from the zone outwards
-        lambda _: tenant is not None and zone in tenant.zones,
-        lambda cls: cls in classes,
-        lambda obj: len(obj) == 16 and not set(obj) - HEX,
-        lambda part: part.isascii() and part.isdigit() and len(part) <= MOST_PART,
-        lambda protocol: protocol == "_tcp",
-        lambda service: service.startswith("_") and len(service) > 1,
-    )
-    if len(left) > len(checks) or not all(check(label) for check, label in zip(checks, reversed(left), strict=False)):
+    # From the zone outwards; spelled out, since every query comes through here.
+    n = len(left)
+    if n > 6 or tenant is None or zone not in tenant.zones:
+        return none
+    if n > 1 and left[-2] not in classes or n > 2 and (len(left[-3]) != 16 or not HEX.issuperset(left[-3])):
+        return none
+    if n > 3 and not (left[-4].isascii() and left[-4].isdigit() and len(left[-4]) <= MOST_PART):
+        return none
+    if n > 4 and left[-5] != "_tcp" or n > 5 and not (left[-6].startswith("_") and len(left[-6]) > 1):
         return none
     if len(left) in (1, 2, 3, 5):
         return Place(Kind.EMPTY, zone)
--- a/threadhill/dns/records.py
+++ b/threadhill/dns/records.py
@@ -4,12 +4,14 @@
 
 import ipaddress
 import struct
+from functools import lru_cache
 
 from threadhill.dns.message import Labels, Record, Type, pack_name
 
 PORT, HINT4, HINT6 = 3, 4, 6  # SvcParamKeys (RFC 9460, section 14.3.2)
 
 
+@lru_cache(4_096)
 def address(host: str, owner: Labels | None = None) -> Record | None:
     """The A or AAAA record of a literal address; None where the host is a name, which is nothing to be handed out."""
     try:
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -55,7 +55,7 @@
     for unknown in sorted(set(raw) - {"dns", "admin", "tenants"}):
         raise Malformed(f"{unknown}: no such key")
     dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback",
-                              "responses_per_s", "slip", "resolver_qps", "trusted", "views", "tls",
+                              "responses_per_s", "slip", "resolver_qps", "unproven_qps", "trusted", "views", "tls",
                               "per_network", "signing", "transfer"})
     admin = _table(raw, "admin", {"listen", "token_file", "token_env"})
     try:
@@ -81,9 +81,9 @@
     if fallback:
         labels_of(fallback)
     limits = {key: number(raw.get(key, default), f"dns.{key}") for key, default in
-              (("responses_per_s", 100.0), ("slip", 2), ("resolver_qps", 500.0))}
+              (("responses_per_s", 100.0), ("slip", 2), ("resolver_qps", 500.0), ("unproven_qps", 1_000.0))}
     if any(value < 0 for value in limits.values()):
-        raise Malformed("dns: responses_per_s, slip and resolver_qps are 0 (no limit) or more")
+        raise Malformed("dns: responses_per_s, slip, resolver_qps and unproven_qps are 0 (no limit) or more")
     trusted = tuple(text(network, "dns.trusted") for network in sequence(raw.get("trusted"), "dns.trusted"))
     for network in trusted:
         try:
@@ -96,8 +96,8 @@
     except ValueError as error:
         raise Malformed(f"dns.views: {error}") from None
     return DnsConfig(address(raw.get("listen"), "dns.listen"), deadline * 1_000, names, connections, nsid, fallback,
-                     limits["responses_per_s"], int(limits["slip"]), limits["resolver_qps"], trusted, views,
-                     _read_tls(raw, base), _read_transfer(raw, base), *_read_signing(raw, base),
+                     limits["responses_per_s"], int(limits["slip"]), limits["resolver_qps"], limits["unproven_qps"],
+                     trusted, views, _read_tls(raw, base), _read_transfer(raw, base), *_read_signing(raw, base),
                      whole(raw.get("per_network", 32), "dns.per_network"))
 
 
