Add overload control: storms seen, room shared by rank, retries paid for, returns planned

When boxes failed, players' retries made it worse; the program had one retry budget and a fixed time to come back. Taken: room by what is served in time, levels by rank, worth and client with max-min shares of tenants, retry budgets at three levels, promised come-back times, as a guard before the module; what the module decides stays its own. Not taken: a second limit on concurrency (the module's rooms are one) and circuits of our own (they would hide from the module what it learns from).

Off unless the operator's file turns it on, and then alone imported.

--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,411 @@
+"""Overload control, part by part: what it sees, who is let in, what is paid for, when who is refused comes back."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from threadhill.core.clock import Clock
+from threadhill.core.deadlines import Deadlines
+from threadhill.core.engine import Engine
+from threadhill.core.ports import Answer, Ask, Ended, Final, Order
+from threadhill.decision import interface as api
+from threadhill.overload import budgets, comeback, sketch
+from threadhill.overload.accept import Pace
+from threadhill.overload.admission import SPREADS, SUBS, Claims, Gate, Rank, max_min
+from threadhill.overload.budgets import TERMS, Budgets, Level
+from threadhill.overload.capacity import Capacity, Signs
+from threadhill.overload.comeback import SLOT, Planner, Return
+from threadhill.overload.control import Control, OverloadConfig
+from threadhill.overload.detector import Detector, Event, State
+from threadhill.overload.sketch import Unserved
+from threadhill.stats import Stats
+
+MS, SECOND = 1_000, 1_000_000
+
+
+# --- what is seen
+
+def test_an_ask_that_comes_again_is_known_and_others_are_hardly_ever_taken_for_it() -> None:
+    seen, now = Unserved(b"secret"), 10 * SECOND
+    for n in range(sketch.FILL):  # as full as it may be
+        seen.add(f"lost {n}", now)
+    wrong = sum(seen.take(f"other {n}", now) for n in range(20_000))
+    assert wrong / 20_000 < 0.05
+    seen = Unserved(b"secret")
+    for n in range(500):
+        seen.add(f"lost {n}", now)
+    assert sum(seen.take(f"other {n}", now) for n in range(20_000)) / 20_000 < 0.001
+    assert sum(seen.take(f"lost {n}", now + SECOND) for n in range(500)) >= 480  # a wrong one takes a right one's place
+    assert sum(seen.take(f"lost {n}", now + SECOND) for n in range(500)) <= 10  # each is used up
+    seen.add("old", now)
+    assert not seen.take("old", now + 3 * sketch.SPAN)
+    for n in range(3 * sketch.FILL):
+        seen.add(f"x{n}", now + 9 * sketch.SPAN)
+    assert seen.held <= sketch.FILL and seen.full >= 2 * sketch.FILL
+
+
+def play(detector: Detector, seconds: float, first: int, again: int, bad: float, now: int) -> tuple[int, list]:
+    """So many seconds of a mix, a turn each 100 ms."""
+    changes = []
+    for _ in range(int(10 * seconds)):
+        counts = detector.all.counts
+        counts[Event.FIRST] += first // 10
+        counts[Event.MARKED] += again // 10
+        ends = (first + again) // 10
+        counts[Event.REFUSED] += round(ends * bad)
+        counts[Event.SERVED] += ends - round(ends * bad)
+        now += 100 * MS
+        changes += detector.turn(now)
+    return now, changes
+
+
+def test_states_follow_a_storm_with_hysteresis_and_each_change_is_told_with_its_figures() -> None:
+    detector = Detector()
+    now, changes = play(detector, 10, 100, 0, 0.0, SECOND)
+    assert not changes
+    now, changes = play(detector, 1.5, 100, 10, 0.2, now)
+    assert [c.new for c in changes] == [State.STRAINED]
+    now, more = play(detector, 4, 100, 150, 0.6, now)
+    assert [c.new for c in more] == [State.STORM]
+    assert "factor" in more[0].told() and "strained -> storm" in more[0].told()
+    now, more = play(detector, 3, 100, 150, 0.2, now)  # better, not well: it stays
+    assert not more
+    now, more = play(detector, 4, 100, 30, 0.03, now)
+    assert [c.new for c in more] == [State.RECOVERING]
+    now, more = play(detector, 6, 100, 0, 0.0, now)
+    assert [c.new for c in more] == [State.NORMAL]
+    _, more = play(Detector(), 20, 2, 4, 0.9, now)  # a handful of asks is no storm
+    assert not more
+
+
+# --- who is let in
+
+@given(st.dictionaries(st.text(max_size=3), st.floats(0, 100), max_size=8), st.floats(0, 200))
+def test_shares_are_max_min(wants: dict[str, float], room: float) -> None:
+    shares = max_min(wants, room)
+    assert sum(shares.values()) <= room + 1e-6 and all(shares[name] <= want + 1e-9 for name, want in wants.items())
+    if sum(wants.values()) >= room and wants:  # nothing is left over, and who got less than it wants got the most
+        assert sum(shares.values()) == pytest.approx(room, abs=1e-6)
+        poor = [shares[name] for name, want in wants.items() if shares[name] < want - 1e-6]
+        assert all(share >= max(shares.values()) - 1e-6 for share in poor)
+
+
+def through(gate: Gate, asks: list[tuple[str, Rank, str]], seconds: int, work: float = 0.05) -> dict[tuple, float]:
+    """Part let in by tenant and rank, in the last second of a steady mix of asks, each ten times a second."""
+    now, let, came = SECOND, {}, {}
+    for step in range(10 * seconds):
+        for tenant, rank, client in asks:
+            goes = gate.lets_in(tenant, gate.level(rank, 1.0, work, client, now), work)
+            if step >= 10 * (seconds - 2):
+                came[tenant, rank] = came.get((tenant, rank), 0) + 1
+                let[tenant, rank] = let.get((tenant, rank), 0) + goes
+        now += 100 * MS
+        gate.turn(now)
+    return {key: let[key] / count for key, count in came.items()}
+
+
+def test_listeners_and_promised_ones_go_before_newcomers_and_purchases_always() -> None:
+    gate = Gate()
+    gate.room = 6.0  # of 20 that are asked for
+    asks = [("t", rank, f"c{rank}-{n}") for rank in (Rank.KEYED, Rank.PROMISED, Rank.LISTENER, Rank.FIRST, Rank.AGAIN)
+            for n in range(8)]
+    part = through(gate, asks, 6)
+    assert part["t", Rank.KEYED] == 1 and part["t", Rank.PROMISED] >= 0.4
+    assert part["t", Rank.PROMISED] >= part["t", Rank.LISTENER] >= part["t", Rank.FIRST] >= part["t", Rank.AGAIN]
+    assert part["t", Rank.AGAIN] == 0
+    gate.room = math.inf
+    assert set(through(gate, asks, 4).values()) == {1.0}
+
+
+def test_a_tenants_storm_leaves_the_others_their_share_and_a_hog_stands_behind() -> None:
+    gate = Gate()
+    gate.room = 10.0
+    asks = [("flood", Rank.FIRST, f"f{n}") for n in range(100)] + [("calm", Rank.FIRST, f"c{n}") for n in range(6)]
+    part = through(gate, asks, 6)
+    assert part["calm", Rank.FIRST] > 0.98 and 0.08 < part["flood", Rank.FIRST] < 0.2
+    gate = Gate()
+    now = SECOND
+    for _ in range(30):
+        for client in ("a", "b", "c", "d", *["hog"] * 60):
+            gate.level(Rank.FIRST, 1.0, 0.05, client, now)
+        now += 100 * MS
+        gate.turn(now)
+    hog, usual = (gate.level(Rank.FIRST, 1.0, 0.05, client, now) // SPREADS % SUBS for client in ("hog", "a"))
+    assert hog == SUBS - 1 > usual
+
+
+def test_a_listener_has_a_claim_on_the_next_part_for_a_while() -> None:
+    claims = Claims()
+    claims.note("c", "o", 3, 0)
+    assert claims.holds("c", "o", 4, SECOND) and not claims.holds("c", "o", 3, SECOND)
+    assert not claims.holds("d", "o", 4, SECOND) and not claims.holds("c", "o", 4, 6 * SECOND)
+    for n in range(20_000):
+        claims.note("c", f"o{n}", 0, 0)
+    assert len(claims.served) <= 8_192
+
+
+def test_room_holds_at_what_is_served_and_grows_in_steps_slower_while_the_library_is_slow() -> None:
+    def after(signs: Signs, seconds: int) -> float:
+        capacity, now = Capacity(), SECOND
+        for _ in range(30):  # before: all that is asked for is served
+            capacity.reached(0.6)
+            capacity.ended(0.6, True)
+            now += 100 * MS
+            capacity.turn(now, False, signs)
+        for step in range(10 * (6 + seconds)):
+            fault = step < 60
+            sent = min(3.0, capacity.room / 10)
+            capacity.reached(sent)
+            capacity.held_off(max(0.0, 3.0 - sent))
+            capacity.ended(min(sent, 0.6) if fault else sent, True)
+            now += 100 * MS
+            capacity.turn(now, True, signs)
+            if step == 59:
+                assert 5.2 <= capacity.room <= 9  # of 30 that are asked for, 6 are served
+        return capacity.room
+
+    assert after(Signs(), 1) < 15 and after(Signs(), 6) > 25
+    assert after(Signs(library=3.0), 6) < after(Signs(), 6) / 2
+    capacity = Capacity()
+    for n in range(100):
+        capacity.reached(1.0)
+        capacity.ended(0.2, True)
+        capacity.turn(n * 100 * MS, False, Signs())
+    assert capacity.room == math.inf  # not while the detector says that all is normal
+
+
+# --- what is paid for
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.booleans(), st.sampled_from("abc"), st.sampled_from("xy"), st.integers(0, 2 * SECOND)),
+                max_size=120))
+def test_purses_are_never_negative_and_nothing_leaks(steps: list[tuple[bool, str, str, int]]) -> None:
+    book, now, paid, spent = Budgets(), 0, 0.0, 0
+    for first, client, tenant, gone in steps:
+        now += gone
+        if first:
+            book.first(client, tenant, now)
+            paid += TERMS[Level.FLEET].share
+        else:
+            before = {level: {k: p.tokens for k, p in purses.items()} for level, purses in book.purses.items()}
+            empty = book.retry(client, tenant, now)
+            spent += empty is None
+            if empty is not None:  # none of the three was charged
+                assert all(p.tokens >= before[level].get(k, 0) - 1e-9
+                           for level, purses in book.purses.items() for k, p in purses.items())
+        for level, purses in book.purses.items():
+            assert all(-1e-9 <= purse.tokens <= TERMS[level].most + 1e-9 for purse in purses.values())
+    fleet = TERMS[Level.FLEET]
+    assert spent <= fleet.most / 2 + paid + fleet.floor * now / SECOND + 1e-6
+
+
+def test_a_budget_is_as_deep_as_first_tries_made_it_at_every_level() -> None:
+    book = Budgets()
+    for n in range(200):
+        book.first(f"c{n % 50}", "t", n * 10 * MS)
+    now = 2 * SECOND
+    assert [book.retry("c1", "t", now) for _ in range(6)][-1] is Level.CLIENT
+    told = [book.retry(f"c{n}", "t", now) for n in range(2, 50) for _ in range(2)]
+    assert Level.TENANT in told and sum(one is None for one in told) <= TERMS[Level.TENANT].most
+    assert book.retry("other", "quiet", now) is None  # another tenant's purse is its own
+    for n in range(3 * budgets.KEYS[Level.CLIENT]):
+        book.first(f"x{n}", "t", now)
+    assert len(book.purses[Level.CLIENT]) == budgets.KEYS[Level.CLIENT]
+
+
+# --- when they come back
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 60 * MS), st.integers(0, 3_000 * MS), st.booleans()), max_size=200),
+       st.floats(0, 400))
+def test_promised_room_is_never_over_booked(steps: list[tuple[int, int, bool]], room: float) -> None:
+    planner, now = Planner(2 * SECOND, 7), SECOND
+    planner.room = room
+    for n, (gone, most, returns) in enumerate(steps):
+        now += gone
+        wait = planner.book(f"k{n}", now, most)
+        assert 0 < wait <= max(1_000, min(most, planner.horizon))
+        if returns:
+            planner.returned(f"k{n // 2}", now)
+        assert all(count <= planner.places(slot) for slot, count in planner.booked.items())
+    assert len(planner.promises) <= comeback.KEYS
+
+
+def test_a_wave_that_is_told_to_return_comes_as_fast_as_there_is_room() -> None:
+    planner = Planner(5 * SECOND, 3)
+    planner.room = 100.0
+    waits = sorted(planner.book(f"k{n}", SECOND, 5 * SECOND) for n in range(300))
+    assert 2.8 * SECOND < waits[-1] < 3.3 * SECOND
+    for begin in range(3):  # a hundred in each second, evenly
+        assert 85 <= sum(begin * SECOND <= wait < (begin + 1) * SECOND for wait in waits) <= 115
+    assert planner.unplaced == 0
+    assert [planner.book(f"m{n}", SECOND, 500 * MS) <= 500 * MS for n in range(9)] == [True] * 9  # none past its wait
+    due = SECOND + planner.book("kept", SECOND, 5 * SECOND)
+    assert planner.returned("kept", due) is Return.KEPT and planner.returned("kept", due) is Return.NONE
+    planner.book("hasty", SECOND, 5 * SECOND)
+    held = sum(planner.booked.values())
+    assert planner.returned("hasty", SECOND + SLOT) is Return.EARLY and sum(planner.booked.values()) == held - 1
+    planner.book("tardy", SECOND, 5 * SECOND)
+    assert planner.returned("tardy", 60 * SECOND) is Return.LATE
+
+
+def test_connections_are_taken_in_steps_after_a_start_and_in_a_storm() -> None:
+    pace, now, taken = Pace(0), 0, [0] * 12
+    while now < 12 * SECOND:
+        wait = pace.take(now, State.NORMAL, 10)
+        taken[now // SECOND] += not wait
+        now += wait or 200
+    assert taken[0] < 200 < taken[2] < taken[4] and taken[10] >= 4_000  # no bound any more
+    assert pace.rate(20 * SECOND, State.STORM, 10) == 320
+
+
+# --- all together, in the core
+
+class Quiet:
+    """Servers that never answer; the engine's port."""
+
+    def send(self, attempt: int, order: Order) -> None: ...
+
+    def drop(self, attempt: int) -> bool:
+        return True
+
+    def listed(self, entries: list[api.Entry]) -> None: ...
+
+    def purged(self, object: str | None, group: int | None) -> None: ...
+
+
+class Gathers:
+    name = "resp"
+
+    def __init__(self) -> None:
+        self.answers: dict[int, list[Answer]] = {}
+
+    def answer(self, ref: int, answer: Answer) -> None:
+        self.answers.setdefault(ref, []).append(answer)
+
+
+class Time(Clock):
+    def __init__(self) -> None:
+        self.at = 1_000 * SECOND
+
+    def now(self) -> int:
+        return self.at
+
+
+CLASSES = {"clip": api.RequestClass("clip", aim=600 * MS, deadline=5 * SECOND, worth=2.0, parts=True),
+           "buy": api.RequestClass("buy", effect=api.Effect.KEYED, window=2 * SECOND, aim=700 * MS,
+                                   deadline=3 * SECOND, worth=3.0, write=True)}
+
+
+def core(config: OverloadConfig | None = None) -> tuple[Engine, Control, Gathers, Time]:
+    clock, stats = Time(), Stats()
+    known = api.Settings(CLASSES, zone="z", flow=4_000.0, advice=True, max_advice=500 * MS, cancel=True, max_attempts=3,
+                         origin_kind="origin", direct=True)
+    engine = Engine(known, 1, clock, Deadlines(lambda when: None, lambda error: None), stats, lambda text: None)
+    engine.start(Quiet())
+    engine.listed(api.ListNews(api.ListKind.FULL, tuple(
+        api.Entry(n, api.State.READY, "z", kind) for n, kind in ((1, "std"), (2, "std"), (3, "origin")))))
+    control = Control(CLASSES, 4_000.0, 500 * MS, config or OverloadConfig(), 5, lambda text: None)
+    engine.guard = control
+    return engine, control, Gathers(), clock
+
+
+def storm(control: Control) -> None:
+    control.detector.all.state = State.STORM
+    control.gate.room = control.capacity.room = 0.05
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(st.lists(st.sampled_from(["ask", "again", "buy", "serve", "miss", "leave", "turn", "storm", "calm", "late"]),
+                max_size=80), st.randoms(use_true_random=False))
+def test_whatever_happens_each_request_gets_one_answer_and_nothing_is_kept_of_it(steps: list[str],
+                                                                                 draw: random.Random) -> None:
+    engine, control, front, clock = core()
+    open_handles: dict[int, int] = {}
+    left: set[int] = set()
+    ref = 0
+    for step in steps:
+        clock.at += draw.randrange(40 * MS)
+        if step in ("ask", "again", "buy"):
+            ref += 1
+            ask = Ask(f"{ref:016x}", "buy" if step == "buy" else "clip", f"o{draw.randrange(4)}", 2 * SECOND,
+                      part=draw.randrange(3), repeat=step == "again", client=f"c{draw.randrange(3)}",
+                      token=f"k{draw.randrange(3)}" if step == "buy" else None)
+            handle = engine.ask(front, ref, ask)
+            if ref not in front.answers:
+                open_handles[ref] = handle
+        elif step in ("serve", "miss", "late") and engine.attempts.live():
+            if step == "late":  # past the wanted time, or past everything
+                clock.at += draw.choice([SECOND, 4 * SECOND])
+                engine.deadlines.sweep(clock.at)
+            live = list(engine.attempts.live())
+            if live:
+                end = api.Outcome.MISS if step == "miss" else api.Outcome.SERVED
+                engine.ended(draw.choice(live)[0], Ended(end))
+        elif step == "leave" and open_handles:
+            gone = draw.choice(sorted(open_handles))
+            if gone not in front.answers:
+                left.add(gone)
+            engine.gone(open_handles.pop(gone))
+        elif step == "turn":
+            control.turn(clock.at)
+        elif step == "storm":
+            storm(control)
+        elif step == "calm":
+            control.detector.all.state = State.NORMAL
+    engine.end_all()
+    assert set(front.answers) | left == set(range(1, ref + 1))
+    assert all(len(answers) == 1 for answers in front.answers.values()) and not control.open
+    assert not set(front.answers) & left
+
+
+def test_in_a_storm_newcomers_wait_and_are_told_when_while_purchases_and_listeners_go_on() -> None:
+    engine, control, front, clock = core()
+
+    def ask(n: int, cls: str = "clip", **more: object) -> Answer | None:
+        engine.ask(front, n, Ask(f"{n:016x}", cls, more.pop("object", f"o{n}"), 3 * SECOND,
+                                 client=more.pop("client", f"c{n % 10}"), **more))
+        return front.answers.get(n, [None])[0]
+
+    assert ask(1, object="song", part=4, client="listener") is None
+    engine.ended(list(engine.attempts.live())[0][0], Ended(api.Outcome.SERVED))
+    storm(control)
+    for n in range(100, 140):  # demand that the gate sees
+        ask(n)
+        clock.at += 20 * MS
+    control.gate.room = 2.0
+    control.gate.turn(clock.at)
+    told = [ask(n) for n in range(200, 215)]
+    refused = [answer for answer in told if answer is not None]
+    assert refused and all(a.final is Final.REFUSED and 0 < a.come_back <= 500 * MS for a in refused)
+    assert ask(300, "buy", token="k1") is None and ask(301, "buy", token="k1", repeat=True) is None
+    assert ask(302, object="song", part=5, client="listener") is None  # the next part of what it listens to
+    rid = f"{next(n for n, a in zip(range(200, 215), told, strict=True) if a is not None):016x}"
+    why = control.why(rid)
+    assert why["state"] == "storm" and "no room for first" in why["why"] and why["come_back_ms"] > 0
+    assert control.status(clock.at)["held_off"] and control.why("ffff") is None
+    control.capacity.room = control.gate.room = math.inf
+    control.detector.all.state = State.NORMAL
+    assert all(ask(n) is None for n in range(400, 420))  # in normal times nothing is held off
+
+
+def test_retries_beyond_the_budget_wait_in_a_storm_also_those_that_mark_nothing() -> None:
+    for mark in (True, False):
+        engine, control, front, clock = core(OverloadConfig(admission=False))
+        storm(control)
+        control.gate.room = math.inf
+        refs = iter(range(1, 10_000))
+        for n in range(8):
+            engine.ask(front, next(refs), Ask(f"{n:016x}", "clip", f"o{n}", 60 * MS, client="c"))
+        clock.at += 100 * MS
+        engine.deadlines.sweep(clock.at)  # none was served
+        before = dict(control.counts.held)
+        for n in range(8):
+            engine.ask(front, next(refs), Ask(f"{n:016x}", "clip", f"o{n}", 3 * SECOND, client="c", repeat=mark))
+        held = sum(control.counts.held.values()) - sum(before.values())
+        assert held >= 2 and list(control.counts.held) == ["retry budget of the client"]
--- /dev/null
+++ b/tests/test_storm.py
@@ -0,0 +1,163 @@
+"""Overload control in the running program: a storm is seen, told and explained; and the stand-ins that cause it."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from benchmarks import storm, storm_ways
+from benchmarks.report import page
+from tests.test_dns import play
+from tests.world import ROOT, World, until
+from threadhill.operators import read_operator
+from threadhill.settings import Malformed
+from threadhill.standin import faults
+from threadhill.standin.servers import Fleet
+
+OPERATOR = """
+[overload]
+leave_ms = 1000
+
+[admin]
+listen = "127.0.0.1:0"
+token_env = "TOKEN"
+
+[dns]
+listen = "127.0.0.1:0"
+"""
+
+
+def command(port: int, *words: str) -> str:
+    return subprocess.run([sys.executable, "-m", "threadhill", "overload", *words, "--admin", f"127.0.0.1:{port}",
+                           "--token", "t" * 20], cwd=ROOT, capture_output=True, text=True, check=True).stdout
+
+
+def test_a_storm_is_seen_told_and_explained_and_each_request_has_one_answer(tmp_path: Path) -> None:
+    async def scene(w: World, _: object) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: ("refused", "report=inflight:60;util:1.0", b"")
+        admin = await w.listens("admin")
+        clients = [await w.client() for _ in range(4)]
+        tags, end = [], time.monotonic() + 20
+        while "normal -> strained" not in w.log and time.monotonic() < end:
+            for client in clients:
+                for n in range(4):
+                    tags.append((client, client.ask(obj=f"{n:016x}", again=n % 2)))
+            await asyncio.sleep(0.05)
+        await w.logged("overload: all: normal -> strained")
+        rid = "ab" * 8
+        last: tuple = ("200", {}, b"")
+        while last[0] == "200" or "why" not in last[1]:
+            tag = clients[0].ask(obj=f"{5:016x}", again=1, rid=rid)
+            tags.append((clients[0], tag))
+            last = await clients[0].answer(tag)
+            if last[0] == "503" and 0 < int(last[1].get("backoff", 0)) <= 500:
+                break
+        answers = [await client.answer(tag) for client, tag in tags]
+        assert {word for word, _, _ in answers} <= {"200", "503"} and not any(client.twice for client in clients)
+        run = asyncio.get_running_loop().run_in_executor
+        told = await run(None, command, admin, "why", rid)
+        assert '"come_back_ms"' in told and '"state"' in told
+        status = await run(None, command, admin, "status")
+        assert re.search(r"state +(strained|storm)", status) and "retries a second" in status
+        reader, writer = await asyncio.open_connection("127.0.0.1", admin)
+        writer.write(f"GET /metrics HTTP/1.1\r\nAuthorization: Bearer {'t' * 20}\r\nConnection: close\r\n\r\n".encode())
+        metrics = (await reader.read()).decode()
+        writer.close()
+        assert re.search(r'threadhill_refused_total{class="art-pages"} [1-9]', metrics)
+        assert "threadhill_overload_state" in metrics
+        with pytest.raises(subprocess.CalledProcessError):
+            await run(None, command, admin, "why", "0" * 16)
+
+    play(tmp_path, scene, OPERATOR)
+
+
+def test_at_the_end_clients_are_let_go_of_one_after_another(tmp_path: Path) -> None:
+    async def scene(w: World, _: object) -> None:
+        clients = [await w.client() for _ in range(40)]
+        for client in clients:
+            assert (await client.get(obj=f"{3:016x}"))[0] == "200"
+        began, ends = time.monotonic(), []
+        w.process.terminate()
+
+        async def end(client) -> None:  # noqa: ANN001
+            await client.task
+            ends.append(time.monotonic() - began)
+
+        await asyncio.gather(*(end(client) for client in clients))
+        assert max(ends) - min(ends) > 0.5  # not all in one instant
+        assert await w.process.wait() == 0
+
+    play(tmp_path, scene, OPERATOR)
+
+
+@pytest.mark.parametrize("bad", [{"horizon_ms": 70_000}, {"leave_ms": -1}, {"admission": 1}, {"retries": True}])
+def test_words_of_the_operators_file_that_cannot_be_used_are_told(bad: dict, tmp_path: Path) -> None:
+    with pytest.raises(Malformed, match="overload"):
+        read_operator({"overload": bad}, {}, tmp_path)
+
+
+def test_scripted_faults_do_what_they_say() -> None:
+    async def scene() -> None:
+        fleet = Fleet()
+        box = await fleet.add("b", "library", ("127.0.0.1", 0))
+        box.workers, box.queue = 1, 1
+
+        async def ask(count: int) -> list[str]:
+            reader, writer = await asyncio.open_connection(*box.address)
+            writer.write(b"".join(b"do r%d profile=c,thing=x,nth=0 0\r\n\r\n" % n for n in range(count)))
+            words = []
+            for _ in range(count):
+                _, word, _, size = (await reader.readline()).split()
+                await reader.readexactly(int(size) + 2)
+                words.append(word.decode())
+            writer.close()
+            return words
+
+        assert sorted(set(await ask(6))) == ["ok", "refused"]  # one in work, one waits
+        failing = asyncio.ensure_future(faults.play(box, faults.Fault("fail", 0, 0.2, 1.0)))
+        await until(lambda: box.failing)
+        assert await ask(1) == ["error"]
+        await failing
+        late = asyncio.ensure_future(faults.play(box, faults.Fault("late", 0, 0.2, 60)))
+        await until(lambda: box.late)
+        assert box.report() == box.report()
+        await late
+        stopped = asyncio.ensure_future(faults.play(box, faults.Fault("stop", 0, 0.2, 9.0)))
+        await asyncio.sleep(0.05)
+        with pytest.raises(OSError):
+            await asyncio.open_connection(*box.address)
+        await stopped
+        assert await ask(1) == ["ok"] and box.cold == 9.0
+        reader, _ = await asyncio.open_connection(*box.address)
+        await until(lambda: box.links)
+        reset = asyncio.ensure_future(faults.play(box, faults.Fault("reset", 0, 0.1)))
+        with suppress(ConnectionError):
+            assert await asyncio.wait_for(reader.read(), 30) == b""  # it was ended
+        await reset
+        with pytest.raises(ValueError, match="no such fault"):
+            await faults.play(box, faults.Fault("melt", 0, 0))
+        fleet.close()
+
+    asyncio.run(scene())
+
+
+def test_the_ways_differ_where_queues_are_deep_and_hardly_where_rooms_are_bounded() -> None:
+    deep = {way: storm_ways.play(way, 11, "deep") for way in ("none", "gradient", "served rate and ranks")}
+    assert deep["none"]["served_after"] < 0.1 < 0.9 < deep["served rate and ranks"]["served_after"]
+    assert deep["gradient"]["recover_s"] == 0
+    bounded = [storm_ways.play(way, 11, "bounded")["served_after"] for way in storm_ways.WAYS]
+    assert min(bounded) > 0.98
+
+
+def test_the_page_shows_both_sides() -> None:
+    side = {"share": [1.0, 0.4, 1.0], "tries": [1.0, 2.0, 1.0]}
+    made = page({"recover_s": 3.0, "<b>": 1}, {"on": side, "off": side})
+    assert made.count("<polyline") == 4 and "recover_s" in made and "<b>" not in made and storm.BOXES == 3
--- a/threadhill/admin/api.py
+++ b/threadhill/admin/api.py
@@ -7,6 +7,9 @@
     PUT    /v1/tenants/NAME     make or replace one; If-Match holds the state version it was planned on
     DELETE /v1/tenants/NAME     remove one
     GET    /v1/stats            the counters
+    GET    /v1/overload         the state of overload control, its figures and the limits that bind now
+    GET    /v1/overload/why/ID  why the request with this id was refused, of the last some thousand
+    GET    /metrics             the same and the counters, for Prometheus
     GET    /v1/dns/resolvers    what each resolver's answers are charged, and which of them keep answers of TTL 0
 """
 
@@ -15,6 +18,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from threadhill.admin.explain import Explain
 from threadhill.admin.http import Call, Problem
 from threadhill.core.tenants import Conflict, Tenant, Tenants
 from threadhill.documents import Invalid, difference, read_tenant, read_tenants, write_tenant
@@ -25,19 +29,24 @@
     """Answers calls. Each one checks all that it is given before it changes anything."""
 
     def __init__(self, tenants: Tenants, stats: Stats, changed: Callable[[], None],
-                 resolvers: Callable[[], list[dict[str, Any]]] | None = None) -> None:
+                 resolvers: Callable[[], list[dict[str, Any]]] | None = None, explain: Explain | None = None) -> None:
         self.tenants, self.stats, self._changed, self._resolvers = tenants, stats, changed, resolvers
+        self._explain = explain
 
     def __call__(self, call: Call) -> tuple[int, Any]:
         self.stats.count("admin", call.method)
         path = call.path.partition("?")[0].strip("/").split("/")
+        if path == ["metrics"] and call.method == "GET":
+            return 200, self._overload().metrics()
         if path[0] != "v1":
             raise Problem(404, "not-found", "paths begin with /v1")
         routes = {("state",): {"GET": self._state}, ("stats",): {"GET": self._stats},
                   ("apply",): {"POST": self._apply}, ("tenants",): {"GET": self._list},
-                  ("dns", "resolvers"): {"GET": self._dns_resolvers}}
+                  ("dns", "resolvers"): {"GET": self._dns_resolvers}, ("overload",): {"GET": self._overload_status}}
         if len(path) == 3 and path[1] == "tenants":
             methods = {"GET": self._get, "PUT": self._put, "DELETE": self._delete}
+        elif len(path) == 4 and path[1:3] == ["overload", "why"]:
+            methods = {"GET": lambda call, _, rid: self._overload_why(call, rid)}
         else:
             methods = routes.get(tuple(path[1:]), {})
         if not methods:
@@ -65,6 +74,20 @@
             raise Problem(404, "no-dns", "this proxy has no DNS front")
         return 200, {"resolvers": self._resolvers()}
 
+    def _overload(self) -> Explain:
+        if self._explain is None:
+            raise Problem(404, "no-overload", "overload control is off: the operator's file has no [overload]")
+        return self._explain
+
+    def _overload_status(self, call: Call, *_: str) -> tuple[int, Any]:
+        return 200, self._overload().status()
+
+    def _overload_why(self, call: Call, rid: str) -> tuple[int, Any]:
+        told = self._overload().why(rid)
+        if told is None:
+            raise Problem(404, "not-refused", f"none of the last refusals was of {rid[:60]!r}")
+        return 200, {"rid": rid, **told}
+
     def _list(self, call: Call) -> tuple[int, Any]:
         return 200, {"tenants": [write_tenant(t) for t in self._all()]}
 
--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -25,6 +25,8 @@
 dns_app = typer.Typer(no_args_is_help=True, help="A proxy's DNS front.")
 app.add_typer(dns_app, name="dns")
 
+overload_app = typer.Typer(no_args_is_help=True, help="A proxy's overload control.")
+app.add_typer(overload_app, name="overload")
 key_app = typer.Typer(no_args_is_help=True, help="Zones' signing keys; a running proxy takes up each change itself.")
 dns_app.add_typer(key_app, name="key")
 
@@ -117,6 +119,40 @@
                    f"{row['asked']:>7} {row['heard_ms_ago']:>6} ms")
 
 
+@overload_app.command("status")
+def overload_status(admin: Address, token: Token, json: Json = False) -> None:
+    """The state of overload control, the figures that it is for, and the limits that bind now.
+
+    Example: threadhill overload status --admin 127.0.0.1:5380
+    """
+    told = _tenants(lambda client: client.call(admin, token, "GET", "/v1/overload"))
+    if json:
+        _out(told)
+        return
+    f, back = told["figures"], told["come_back"]
+    room = "no bound" if told["room"] is None else f"{told['room']} s of work a second"
+    typer.echo(f"state     {told['state']}, room {room}\n"
+               f"asks      {f['first']} first tries and {f['again']} retries a second, factor {f['factor']}, "
+               f"trend {f['trend']}\n"
+               f"ends      {100 * f['bad']:.0f}% bad; {told['served_in_time']} of {told['let_through']} s of work "
+               f"served in time\n"
+               f"returns   {back['waiting']} waiting, room for {back['room_per_s']} a second; {back['returns']}, "
+               f"{back['refused_again']} refused again")
+    for why, count in sorted(told["held_off"].items()):
+        typer.echo(f"held off  {count:>8}  {why}")
+    for key in told["keys"]:
+        if key["state"] != "normal":
+            typer.echo(f"{key['kind']:<9} {key['name']}: {key['state']}, factor {key['factor']}, bad {key['bad']}")
+    for line in told["changes"]:
+        typer.echo(line)
+
+
+@overload_app.command("why")
+def overload_why(rid: Annotated[str, typer.Argument(help="the request's id")], admin: Address, token: Token) -> None:
+    """Why one request was refused, of the last two thousand refusals."""
+    _out(_tenants(lambda client: client.call(admin, token, "GET", f"/v1/overload/why/{rid}")))
+
+
 @dns_app.command("conformance")
 def dns_conformance() -> None:
     """Run the conformance table against this program, on loopback with stand-in servers, and print it: each
--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -13,7 +13,7 @@
 from threadhill.core.clock import Clock
 from threadhill.core.cordons import Cordons
 from threadhill.core.deadlines import Deadlines
-from threadhill.core.ports import Answer, Ask, Caches, Ended, Final, Front, Order
+from threadhill.core.ports import Answer, Ask, Caches, Ended, Final, Front, Guard, Order
 from threadhill.core.slots import Slots
 from threadhill.core.tenants import Tenants
 from threadhill.decision import interface as api
@@ -58,6 +58,7 @@
         self.requests: Slots[Request] = Slots()
         self.attempts: Slots[Attempt] = Slots()
         self.caches: Caches | None = None
+        self.guard: Guard | None = None  # overload control, where the operator's file turns it on
         self._events: deque[api.Event] = deque()
         self._busy = False
         self.followers: list[Engine] = []  # engines of other nodes' views, told of the list and purges
@@ -93,6 +94,12 @@
             self.stats.count("over_quota", ask.tenant or "")
             self._finish(handle, Answer(Final.REFUSED, come_back=wait))
             return handle
+        if self.guard is not None:
+            held = self.guard.arrives(handle, ask, front.name, self.clock.now())
+            if held is not None:
+                self.stats.count("damped", ask.cls)
+                self._finish(handle, Answer(Final.REFUSED, come_back=held))
+                return handle
         self._take(api.Request(str(handle), ask.cls, ask.object, ask.left, ask.size, ask.group, ask.part,
                                ask.repeat, tenant=ask.tenant, hand_over=ask.hand_over, weight=ask.weight))
         return handle
@@ -104,6 +111,8 @@
             return
         self.deadlines.drop(request.timer)
         self.stats.count("client_gone", request.ask.cls)
+        if self.guard is not None:
+            self.guard.left(handle, self.clock.now())
         self._events.append(api.ClientGone(str(handle)))
         self._undo_all(request)
         self._pump()
@@ -238,7 +247,7 @@
                 case api.HandOver():
                     self._hand_over(int(action.id), action.server, action.hold)
                 case api.Refuse():
-                    self._finish(int(action.id), Answer(Final.REFUSED, come_back=action.come_back))
+                    self._refuse(int(action.id), action.come_back)
                 case api.Fail():
                     self._finish(int(action.id), Answer(Final.FAILED))
                 case api.CancelAttempt():
@@ -306,6 +315,11 @@
         for attempt in list(request.out):
             self._undo(attempt)
 
+    def _refuse(self, handle: int, come_back: int) -> None:
+        if self.guard is not None and self.requests.get(handle) is not None:
+            come_back = self.guard.refused(handle, come_back, self.clock.now())
+        self._finish(handle, Answer(Final.REFUSED, come_back=come_back))
+
     def _finish(self, handle: int, answer: Answer) -> None:
         """Give the final answer, once; attempts that still run can serve nobody and are given up."""
         request = self.requests.free(handle)
@@ -313,5 +327,7 @@
             return
         self.deadlines.drop(request.timer)
         self.stats.count(answer.final.value, request.ask.cls)
+        if self.guard is not None:
+            self.guard.ended(handle, answer.final, self.clock.now())
         request.front.answer(request.ref, answer)
         self._undo_all(request)
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -35,6 +35,7 @@
     body: bytes = b""
     hand_over: bool = False  # the client is to be told a server, and goes there itself
     weight: float = 1.0  # of one handed over: how many requests the answer is likely to bring
+    client: str = ""  # who asks, as far as the front can tell: a connection, a resolver
 
 
 @dataclass(slots=True)
@@ -74,8 +75,28 @@
     load: dict[str, float] = field(default_factory=dict)
 
 
+class Guard(Protocol):
+    """Overload control: hears of each request and its end, and may hold one off the module."""
+
+    def arrives(self, handle: int, ask: Ask, front: str, now: int) -> int | None:
+        """None: to the module with it. Else it is refused at once, to come back after so many microseconds."""
+        ...
+
+    def refused(self, handle: int, come_back: int, now: int) -> int:
+        """The module refuses it, with this time to come back: the time that is told."""
+        ...
+
+    def ended(self, handle: int, final: Final, now: int) -> None: ...
+
+    def left(self, handle: int, now: int) -> None:
+        """Its client stopped waiting."""
+        ...
+
+
 class Front(Protocol):
-    """Takes the one final answer for what it asked under `ref`."""
+    """Takes the one final answer for what it asked under `ref`; `name` is what it is called in figures."""
+
+    name: str
 
     def answer(self, ref: int, answer: Answer) -> None: ...
 
--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -103,6 +103,8 @@
 class DnsFront:
     """Answers queries over any transport; plugs into the core as a front."""
 
+    name = "dns"
+
     def __init__(self, engine: Engine, config: DnsConfig, classes: frozenset[str],
                  where: Callable[[int], Where | None], families: Callable[[], set[int]],
                  nodes: dict[str, Engine] | None = None, signer: Signer | None = None) -> None:
@@ -249,7 +251,7 @@
         ref = self.pending.add(pending)
         # Without an id of its own: no server's line sees it.
         handle = engine.ask(self, ref, Ask("", at.cls, at.object, self.config.deadline, at.part, tenant=at.tenant,
-                                           hand_over=True, weight=weight))
+                                           hand_over=True, weight=weight, client=pending.resolver))
         if self.pending.get(ref) is None:
             return None
         pending.handle = handle
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -111,6 +111,7 @@
         self._secure = secure  # the TLS context that a new connection is to have; None: plain
         # Whose connection one from this address is, "" for nobody's; and how many each may have at once.
         self._group, self.most_each = group, most_each
+        self.pace: Callable[[], int] | None = None  # microseconds until one more may be taken; 0: now
         self._held: Counter[str] = Counter()
         self.guests: dict[Guest, None] = {}
         self._coming: set[asyncio.Task[None]] = set()
@@ -186,6 +187,11 @@
                 self.engine.stats.count(self.name, "full")
                 self._pause(FULL_AGAIN)
                 return
+            wait = self.pace() if self.pace is not None else 0
+            if wait:
+                self.engine.stats.count(self.name, "paced")
+                self._pause(wait)
+                return
             if not self._take():
                 return
 
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -137,6 +137,8 @@
         self.ready = False
         self.refusing = False  # nothing new is taken any more
         self.rids: set[str] = set()  # ids of the open requests
+        self.spread = 0  # microseconds over which clients are let go of when this proxy leaves; 0: all at once
+        self._clients = 0  # connections so far
         self.quiet = 0  # since when clients are sent away, or 0
         self._quiet_turn = 0  # which drain the looks belong to: one that was ended and begun again has its own
 
@@ -165,7 +167,7 @@
             return
         now = self.engine.clock.now()
         for guest in list(self.door.guests):
-            if isinstance(guest, Client) and guest.may_close(now):
+            if isinstance(guest, Client) and guest.may_close(now) and now - self.quiet >= guest.turn_to_go:
                 guest.close()
         self.engine.deadlines.add(now + QUIET_LOOK, lambda: self._quiet_look(turn))
 
@@ -176,9 +178,15 @@
 class Client(Guest):
     """One client's connection."""
 
+    name = "resp"
+
     def __init__(self, front: Platform, door: Door) -> None:
         super().__init__(door, BODY + WORDS * (WORD + LINE), front.all_outbound)
         self.front = front
+        front._clients += 1
+        self.label = f"c{front._clients}"
+        # When it is let go of in a leave that is spread, from its beginning: by its number, so that they go evenly.
+        self.turn_to_go = front._clients * 7_919 % 1_000 * front.spread // 1_000
         self.open: dict[int, tuple[int, str]] = {}  # tag -> the core's handle, -1 until it is known, and the id
         self._reading = True
         self._held = False  # parsing goes on in another turn
@@ -298,6 +306,7 @@
             self.front.engine.stats.count("front_refused", ask.cls)
             self._say(tag, Answer(Final.REFUSED, come_back=COME_BACK))
             return len(self.open) < OPEN  # only a client past its own bound is at fault
+        ask.client = self.label
         self.open[tag] = -1, ask.rid
         self.front.rids.add(ask.rid)
         handle = self.front.engine.ask(self, tag, ask)
@@ -313,7 +322,8 @@
         self.front.rids.discard(rid)
         self._say(ref, answer)
         self._throttle()
-        if self.front.quiet and self.may_close(self.front.engine.clock.now()):
+        now = self.front.engine.clock.now()
+        if self.front.quiet and self.may_close(now) and now - self.front.quiet >= self.turn_to_go:
             self.close()
 
     def _say(self, ref: int, answer: Answer) -> None:
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from threadhill.config import BadConfig
 from threadhill.core.tenants import Tenant
@@ -21,6 +21,9 @@
 from threadhill.hostnames import labels_of
 from threadhill.settings import Malformed, address, mapping, number, sequence, text, whole
 
+if TYPE_CHECKING:
+    from threadhill.overload.control import OverloadConfig
+
 SIGNATURE_LIFE = 3_600  # seconds
 
 
@@ -39,6 +42,7 @@
     dns: DnsConfig | None = None
     admin: AdminConfig | None = None
     tenants: tuple[Tenant, ...] = ()
+    overload: OverloadConfig | None = None
 
 
 def _table(raw: dict[str, Any], key: str, keys: set[str]) -> dict[str, Any] | None:
@@ -52,7 +56,7 @@
 
 def read_operator(raw: dict[str, Any], environ: Mapping[str, str], base: Path) -> Operator:
     """The operator's file; a key that is not known is a fault, as it would else be silently without effect."""
-    for unknown in sorted(set(raw) - {"dns", "admin", "tenants"}):
+    for unknown in sorted(set(raw) - {"dns", "admin", "tenants", "overload"}):
         raise Malformed(f"{unknown}: no such key")
     dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback",
                               "responses_per_s", "slip", "resolver_qps", "unproven_qps", "trusted", "views", "tls",
@@ -62,8 +66,24 @@
         tenants = tuple(read_tenants(raw.get("tenants", [])))
     except Invalid as error:
         raise Malformed(str(error)) from None
+    overload = _table(raw, "overload", {"retry_budgets", "admission", "comebacks", "horizon_ms", "leave_ms"})
     return Operator(_read_dns(dns, base) if dns is not None else None,
-                    _read_admin(admin, environ, base) if admin is not None else None, tenants)
+                    _read_admin(admin, environ, base) if admin is not None else None, tenants,
+                    _read_overload(overload) if overload is not None else None)
+
+
+def _read_overload(raw: dict[str, Any]) -> OverloadConfig:
+    from threadhill.overload.control import OverloadConfig
+
+    on = {}
+    for key in ("retry_budgets", "admission", "comebacks"):
+        on[key] = raw.get(key, True)
+        if not isinstance(on[key], bool):
+            raise Malformed(f"overload.{key}: is true or false")
+    times = {key: whole(raw.get(key), f"overload.{key}") for key in ("horizon_ms", "leave_ms")}
+    if not 0 <= times["horizon_ms"] <= 60_000 or not 0 <= times["leave_ms"] <= 2_500:
+        raise Malformed("overload: horizon_ms is from 0 (as far as the site allows) to 60000, leave_ms from 0 to 2500")
+    return OverloadConfig(**on, horizon=times["horizon_ms"] * 1_000, leave=times["leave_ms"] * 1_000)
 
 
 def _read_dns(raw: dict[str, Any], base: Path) -> DnsConfig:
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -27,9 +27,11 @@
 from threadhill.settings import Malformed
 
 if TYPE_CHECKING:  # each is imported where the operator's file turns it on: the platform's memory is small
+    from threadhill.admin.explain import Explain
     from threadhill.dns.front import DnsConfig, DnsFront
     from threadhill.dns.signing import Signer
     from threadhill.operators import AdminConfig, Operator
+    from threadhill.overload.control import Control, OverloadConfig
 
 SERVE_ON = 700_000  # microseconds after SIGTERM in which requests still come and are taken
 GARBAGE = 10_000  # objects made, net of those freed, after which the collector looks for cycles
@@ -60,6 +62,7 @@
                               self.loop.call_soon, log)
         self.done = asyncio.Event()
         self.dns: DnsFront | None = None
+        self.overload: Control | None = None
         self._leaving = 0  # when SIGTERM came
 
     def _limits(self, config: Config) -> Limits:
@@ -79,6 +82,8 @@
         self.engine.start(self.caches)
         if self.operator is not None:  # before what the journal tells, which may name others
             self.engine.tenants.replace(list(self.operator.tenants))
+            if self.operator.overload is not None:
+                self._guard(self.operator.overload)
         self.journal.catch_up(*self.config.known)
         self.journal.follow(self.config.journal)
         if self.config.management is not None:  # first: what is out by hand must be known before any request
@@ -99,6 +104,32 @@
         self.front.door.shut()
         self.report()
 
+    def _guard(self, config: OverloadConfig) -> None:
+        """Turn overload control on: for every front, since all requests come through the core."""
+        from threadhill.overload.accept import Pace
+        from threadhill.overload.capacity import Signs
+        from threadhill.overload.control import TURN, Control
+
+        settings, router = self.config.settings, self.engine.router
+
+        def signs() -> Signs:
+            origin = router.fleet.origin
+            return Signs(origin.pace[0] if origin is not None else 1.0, router.link)
+
+        control = Control(settings.classes, settings.flow, settings.max_advice, config, self.config.seed, log, signs,
+                          lambda: self.stats.counts["client", "opened"])
+        self.overload = self.engine.guard = control
+        pace = Pace(self.clock.now())
+        self.front.door.pace = lambda: pace.take(self.clock.now(), control.detector.all.state,
+                                                 len(router.fleet.caches))
+        self.front.spread = config.leave
+
+        def turn() -> None:
+            control.turn(self.clock.now())
+            self.deadlines.add(self.clock.now() + TURN, turn)
+
+        turn()
+
     async def _serve_dns(self, config: DnsConfig) -> None:
         from threadhill.dns.front import DnsFront
         from threadhill.dns.transport import DnsServer
@@ -151,11 +182,19 @@
         dns = self.dns
         resolvers = (lambda: dns.charging.resolvers(self.clock.now())) if dns is not None else None
         api = Api(self.engine.tenants, self.stats, lambda: log(f"tenants: version {self.engine.tenants.version}"),
-                  resolvers)
+                  resolvers, self._explain() if self.overload is not None else None)
         door = Door(self.engine, "admin client", ADMINS, lambda door: HttpConnection(config.token, api, door), log)
         host = config.listen[0]
         log.say(f"admin: serving on {host}:{await door.listen(*config.listen)}")
 
+    def _explain(self) -> Explain:
+        from threadhill.admin.explain import Explain
+        from threadhill.overload.metrics import page
+
+        control = self.overload
+        return Explain(lambda: control.status(self.clock.now()), control.why,
+                       page(self.stats, control.status, self.clock.now))
+
     async def _serve_management(self, where: tuple[str, int]) -> None:
         from threadhill.admin.cordon_file import CordonFile
         from threadhill.admin.management import management_door
@@ -239,6 +278,8 @@
                 # Another process takes from the same socket: nobody new comes here, who is here is let go of.
                 self.front.door.shut()
                 self.front.quiesce()
+            elif self.front.spread:  # who is let go of comes to another proxy: not all in the same instant
+                self.front.quiesce()
             self._look()
 
     def _look(self) -> None:
@@ -255,6 +296,8 @@
             # open is failed before it, and SIGKILL counts a longest deadline as 3 s at most.
             owed, over = owed or len(self.front.door.guests), max(over, 0)
             longest = min(longest, KILL_LONGEST)
+        elif 0 <= over < self.front.spread - SERVE_ON:
+            owed = owed or len(self.front.door.guests)
         elif over >= 0 and not self.front.refusing:
             self.front.refusing = True
             self.front.door.shut()
--- a/threadhill/standin/servers.py
+++ b/threadhill/standin/servers.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 
 from threadhill.decision.hashing import number_of
@@ -83,6 +85,15 @@
         self.open = 0
         self.hits = self.misses = 0
         self.slow = 1.0
+        self.workers = 0  # requests in work at once; 0: no bound
+        self.queue = 8  # that may wait beyond those; more are refused
+        self.base = BASE
+        self.failing = 0.0  # part of the requests that fail fast
+        self.late = 0.0  # seconds that reports are old
+        self.refusals = 0
+        self._slots: asyncio.Semaphore | None = None
+        self._reports: deque[tuple[float, str]] = deque(maxlen=4_096)
+        self._draw = random.Random(name)
         self.sources: dict[str, Source] = {}
         self.filling: dict[tuple[str, str], asyncio.Future[float | None]] = {}
         self.links: set[Link] = set()
@@ -108,7 +119,28 @@
             return 1.0
         return min(1.0, self.cold_from + (1 - self.cold_from) * (now - self.started) / self.cold)
 
+    async def back(self, cold: float = 0.0) -> None:
+        """Start again after `stop`, at the same address, with nothing kept."""
+        self.started, self.cold, self.copies, self.open = time.time(), cold, Copies(), 0
+        await self.start()
+
+    def in_work(self) -> asyncio.Semaphore | nullcontext[None]:
+        """A place among the workers."""
+        if not self.workers:
+            return nullcontext()
+        if self._slots is None:
+            self._slots = asyncio.Semaphore(self.workers)
+        return self._slots
+
     def report(self) -> str:
+        """The load report, as old as it comes now."""
+        now = time.time()
+        self._reports.append((now, self._report()))
+        while len(self._reports) > 1 and self._reports[1][0] <= now - self.late:
+            self._reports.popleft()
+        return self._reports[0][1] if self.late else self._reports[-1][1]
+
+    def _report(self) -> str:
         share = self.hits / (self.hits + self.misses) if self.hits + self.misses else 0.0
         return f"report=inflight:{self.open};util:{min(1.0, self.open / 32):.2f};x1:0.10;x0:{share:.2f}"
 
@@ -222,10 +254,20 @@
 
     async def _serve(self, id: str, fields: dict[str, str]) -> None:
         server = self.server
+        if server.workers and server.open >= server.workers + server.queue:
+            server.refusals += 1
+            self.transport.write(f"{id} refused {server.report()} 0\r\n\r\n".encode())
+            self.tasks.pop(id, None)
+            return
         server.open += 1
         try:
-            word, born = await server.answer(fields, "fill" in fields)
-            await asyncio.sleep(BASE * server.slow / server.capacity(time.time()))
+            if server.failing and server._draw.random() < server.failing:
+                word, born = "error", 0.0
+            else:
+                word, born = await server.answer(fields, "fill" in fields)
+                if word == "ok":  # what takes a worker's time is sending; to look and find nothing takes next to none
+                    async with server.in_work():
+                        await asyncio.sleep(server.base * server.slow / server.capacity(time.time()))
             body = body_of(fields.get("thing", ""), fields.get("nth", "0")) if word == "ok" else b""
             about = f"ver=v{int(born)},born={int(born * 1e3)}," if word == "ok" else ""
             self.transport.write(f"{id} {word} {about}{server.report()} {len(body)}\r\n".encode() + body + b"\r\n")
