Give each node of a DNS view a guard of its own, and show it in the overload status

Change: each engine gets a control of its own, its log lines and status named by the node. Without it the new test finds no node in the status. Not taken: one control for all (a storm of one node would hold off the others' clients).

--- a/tests/test_storm.py
+++ b/tests/test_storm.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 import subprocess
 import sys
@@ -14,8 +15,9 @@
 
 from benchmarks import storm, storm_ways
 from benchmarks.report import page
-from tests.test_dns import play
-from tests.world import ROOT, World, until
+from tests.test_dns import Resolver, play, query
+from tests.test_views import subnet
+from tests.world import ROOT, SETTINGS, World, until
 from threadhill.operators import read_operator
 from threadhill.settings import Malformed
 from threadhill.standin import faults
@@ -80,6 +82,44 @@
     play(tmp_path, scene, OPERATOR)
 
 
+def test_each_node_of_a_dns_view_has_a_guard_of_its_own(tmp_path: Path) -> None:
+    """A storm of look-ups for one node is that node's: the RESP front and the proxy's own node stay as they are."""
+    view = """
+trusted = ["127.0.0.1/32"]
+resolver_qps = 0
+
+[[dns.views]]
+node = "sierra"
+networks = ["203.0.113.0/24"]
+
+[[tenants]]
+name = "acme"
+zones = ["route.example"]
+"""
+
+    async def run() -> None:
+        w = World(tmp_path, caches=3, operator=OPERATOR + view,
+                  settings={"extra": SETTINGS["extra"] | {"bypass-allowed": False}})
+        w.caches[2].locality = "sierra"
+        w.caches[2].up_since = int(time.time() * 1_000) - 1  # cold: it takes next to nothing
+        async with w:
+            r = await Resolver(await w.listens("dns")).start()
+            admin = await w.listens("admin")
+            client = await w.client()
+            end = time.monotonic() + 30
+            while "node sierra: overload: all: normal ->" not in w.log and time.monotonic() < end:
+                for n in range(30):
+                    name = f"0.{n % 7:016x}.art-pages.acme.route.example"
+                    r.transport.sendto(query(name, more=subnet("203.0.113.0", 24), extra=1))
+                assert (await client.get(obj=f"{4:016x}"))[0] == "200"
+                await asyncio.sleep(0.05)
+            run = asyncio.get_running_loop().run_in_executor
+            told = json.loads(await run(None, command, admin, "status", "--json"))
+            assert told["nodes"]["sierra"]["state"] != "normal" and told["state"] == "normal"
+
+    asyncio.run(run())
+
+
 def test_at_the_end_clients_are_let_go_of_one_after_another(tmp_path: Path) -> None:
     async def scene(w: World, _: object) -> None:
         clients = [await w.client() for _ in range(40)]
--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -143,6 +143,9 @@
     for key in told["keys"]:
         if key["state"] != "normal":
             typer.echo(f"{key['kind']:<9} {key['name']}: {key['state']}, factor {key['factor']}, bad {key['bad']}")
+    for node, one in sorted(told["nodes"].items()):
+        typer.echo(f"node      {node}: {one['state']}, factor {one['figures']['factor']}, held off "
+                   f"{sum(one['held_off'].values())}")
     for line in told["changes"]:
         typer.echo(line)
 
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -9,7 +9,7 @@
 import tempfile
 import time
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -63,6 +63,7 @@
         self.done = asyncio.Event()
         self.dns: DnsFront | None = None
         self.overload: Control | None = None
+        self.node_guards: dict[str, Control] = {}  # of DNS views' nodes
         self._leaving = 0  # when SIGTERM came
 
     def _limits(self, config: Config) -> Limits:
@@ -107,28 +108,34 @@
     def _guard(self, config: OverloadConfig) -> None:
         """Turn overload control on: for every front, since all requests come through the core."""
         from threadhill.overload.accept import Pace
+
+        control = self.overload = self._control(config, self.engine, lambda: self.stats.counts["client", "opened"])
+        pace, fleet = Pace(self.clock.now()), self.engine.router.fleet
+        self.front.door.pace = lambda: pace.take(self.clock.now(), control.detector.all.state, len(fleet.caches))
+        self.front.spread = config.leave
+
+    def _control(self, config: OverloadConfig, engine: Engine, links: Callable[[], int] = lambda: 0,
+                 node: str = "") -> Control:
+        """One engine's guard: each node has servers, rooms and storms of its own."""
         from threadhill.overload.capacity import Signs
         from threadhill.overload.control import TURN, Control
 
-        settings, router = self.config.settings, self.engine.router
+        settings, router = self.config.settings, engine.router
 
         def signs() -> Signs:
             origin = router.fleet.origin
             return Signs(origin.pace[0] if origin is not None else 1.0, router.link)
 
-        control = Control(settings.classes, settings.flow, settings.max_advice, config, self.config.seed, log, signs,
-                          lambda: self.stats.counts["client", "opened"])
-        self.overload = self.engine.guard = control
-        pace = Pace(self.clock.now())
-        self.front.door.pace = lambda: pace.take(self.clock.now(), control.detector.all.state,
-                                                 len(router.fleet.caches))
-        self.front.spread = config.leave
+        control = Control(settings.classes, settings.flow, settings.max_advice, config, self.config.seed,
+                          lambda text: log(f"node {node}: {text}" if node else text), signs, links)
+        engine.guard = control
 
         def turn() -> None:
             control.turn(self.clock.now())
             self.deadlines.add(self.clock.now() + TURN, turn)
 
         turn()
+        return control
 
     async def _serve_dns(self, config: DnsConfig) -> None:
         from threadhill.dns.front import DnsFront
@@ -142,6 +149,8 @@
             nodes[node] = Engine(settings, self.config.seed ^ zlib.crc32(node.encode()), self.clock, self.deadlines,
                                  self.stats, log)
             nodes[node].start(None)
+            if self.operator.overload is not None:
+                self.node_guards[node] = self._control(self.operator.overload, nodes[node], node=node)
             self.engine.follow(nodes[node])
         signer = self._signer(config) if config.keys is not None else None
         front = DnsFront(self.engine, config, frozenset(self.config.settings.classes), self.caches.where,
@@ -192,8 +201,15 @@
         from threadhill.overload.metrics import page
 
         control = self.overload
-        return Explain(lambda: control.status(self.clock.now()), control.why,
-                       page(self.stats, control.status, self.clock.now))
+
+        def status() -> dict[str, object]:
+            now = self.clock.now()
+            return control.status(now) | {"nodes": {node: one.status(now) for node, one in self.node_guards.items()}}
+
+        def why(rid: str) -> dict[str, object] | None:
+            return next((told for one in (control, *self.node_guards.values()) if (told := one.why(rid))), None)
+
+        return Explain(status, why, page(self.stats, control.status, self.clock.now))
 
     async def _serve_management(self, where: tuple[str, int]) -> None:
         from threadhill.admin.cordon_file import CordonFile
