Know callers of the administration API by keys of their own; keep an audit log that shows changes

One token let whoever had it do everything and told nobody what was done. Way taken: keys in one file that only its owner may read, hashed by scrypt, with scopes, a tenant, an end and a roll with an overlap; running proxies look at the file twice a second; a key checked once is remembered by a digest under a secret of the process, so a call costs no second hashing. Each change and each wrong key is a line of the audit log, hashed over the line before. Not taken: argon2-cffi (one more library for secrets of 256 bits, where the cost of a guess hardly matters) and sessions (state that proxies, which share nothing, would have to share). Found by its test: the wait after failed tries overflowed after a thousand of them.

--- /dev/null
+++ b/tests/test_access.py
@@ -0,0 +1,193 @@
+"""Callers' keys and the audit log: scopes, tenants, rolls, revocation, failed tries, and a chain that shows changes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.test_dns import play
+from tests.world import ROOT, World, until
+from threadhill.settings import Malformed
+from threadhill.tenancy import audit, keyfile, keys
+from threadhill.tenancy.keys import Gate, Refused, Scope
+
+OPERATOR = """
+[admin]
+listen = "127.0.0.1:0"
+keys_file = "keys.json"
+audit_file = "audit.log"
+
+[[tenants]]
+name = "acme"
+zones = ["route.example"]
+quota = 5
+
+[[tenants]]
+name = "beta"
+"""
+
+
+def command(*words: str) -> str:
+    return subprocess.run([sys.executable, "-m", "threadhill", *words], cwd=ROOT, capture_output=True, text=True,
+                          check=True).stdout.strip()
+
+
+def test_keys_are_known_while_they_are_good_and_by_nothing_else() -> None:
+    key, text = keys.make([Scope.READ], 1_000, life=60)
+    gate = Gate({key.id: key})
+    assert text not in json.dumps(key.document()) and text.split("_", 2)[2] not in str(key)
+    assert gate.check(text, "a", 1_000) == key and gate.check(text, "a", 1_059) == key
+    assert gate.check(text, "a", 1_060) is None  # it has expired, though its check is remembered
+    gate.take({key.id: replace(key, revoked=1_010)})
+    assert gate.check(text, "b", 1_010) is None
+    other = text[:-5] + ("aaaaa" if text[-5:] != "aaaaa" else "bbbbb")
+    for wrong in (other, text.replace(key.id, "0" * 12), "", "thk_", "x" * 9_999):
+        assert Gate({key.id: key}).check(wrong, "c", 1_000) is None
+    assert keys.read_key(key.document()) == key
+
+
+def test_failed_tries_are_slowed_by_their_source_and_checks_bounded_for_all() -> None:
+    key, text = keys.make([Scope.ADMIN], 0)
+    gate, now = Gate({key.id: key}), 1_000.0
+    for _ in range(keys.FREE + 3):
+        gate.check("thk_wrong", "bad", now)
+    assert gate.wait("bad", now) == 2.0 and gate.wait("good", now) == 0 and gate.check(text, "good", now) == key
+    assert gate.wait("bad", now + 2.1) == 0
+    for n in range(3 * keys.SOURCES):
+        gate.check("thk_wrong", f"s{n}", now)
+    assert len(gate._sources) <= keys.SOURCES
+    stranger = f"thk_{'0' * 12}_{'x' * 43}"
+    began = time.perf_counter()
+    for _ in range(2_000):  # made-up keys in the right form: only so many are worked out
+        gate.check(stranger, "s", now)
+    assert time.perf_counter() - began < 10 and gate._checks < 1
+    assert gate.check(text, "good", now) == key  # one that is known costs nothing of that
+
+
+def test_a_roll_overlaps_and_what_cannot_be_made_is_refused() -> None:
+    old, _ = keys.make([Scope.READ, Scope.QUOTA], 1_000, life=500, tenant="acme")
+    before, new, text = keys.roll({old.id: old}, old.id, 30, 1_100)
+    assert before.good(1_129) and not before.good(1_130) and new.good(1_599) and not new.good(1_600)
+    assert (new.scopes, new.tenant) == (old.scopes, "acme") and Gate({new.id: new}).check(text, "a", 1_100) == new
+    with pytest.raises(Refused, match="expired"):
+        keys.roll({before.id: before}, before.id, 30, 1_200)
+    read = [Scope.READ]
+    for scopes, tenant, life in (([], "", 0), ([Scope.ADMIN], "acme", 0), (read, "A b", 0), (read, "", -1)):
+        with pytest.raises(Refused):
+            keys.make(scopes, 0, life, tenant)
+
+
+def test_a_file_of_keys_that_cannot_be_used_is_told_once_and_the_old_ones_stay(tmp_path: Path) -> None:
+    path, told = tmp_path / "keys.json", []
+    key, _ = keys.make([Scope.READ], 0)
+    keyfile.write(path, {key.id: key})
+    assert os.stat(path).st_mode & 0o777 == 0o600
+    file = keyfile.KeyFile(path, told.append)
+    good = path.read_text()
+    for spoilt in ("{", "[]", good.replace(key.id, "zz"), good.replace("read", "root")):
+        path.write_text(spoilt)
+        assert not file.look() and not file.look() and file.keys == {key.id: key}
+    assert len(told) == 4
+    os.chmod(path, 0o644)
+    with pytest.raises(Malformed, match="chmod 600"):
+        keyfile.read(path)
+
+
+def written(path: Path, count: int) -> list[str]:
+    log = audit.Log(path, lambda text: None)
+    for n in range(count):
+        log.add(n, "key 1", "PUT /v1/tenants/a", {"n": n}, 200)
+    log.close()
+    return path.read_text().splitlines(keepends=True)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(st.integers(0, 5), st.sampled_from(["alter", "drop", "swap", "double", "put in"]), st.integers(0, 10**6))
+def test_every_change_of_the_log_shows(tmp_path_factory: pytest.TempPathFactory, place: int, how: str,
+                                       pick: int) -> None:
+    path = tmp_path_factory.mktemp("audit") / "log"
+    lines = written(path, 7)
+    if how == "alter":
+        at = pick % (len(lines[place]) - 1)
+        lines[place] = lines[place][:at] + chr(33 + (ord(lines[place][at]) - 32) % 90) + lines[place][at + 1 :]
+    elif how == "drop":
+        del lines[place]
+    elif how == "swap":
+        lines[place], lines[place + 1] = lines[place + 1], lines[place]
+    elif how == "double":
+        lines.insert(place, lines[place])
+    else:
+        lines.insert(place, audit.line(place + 1, 0, "x", "y", None, 200, audit.FIRST if not place else "ab" * 32)[0])
+    path.write_text("".join(lines))
+    with pytest.raises(audit.Broken):
+        audit.verify(path)
+
+
+def test_the_log_goes_on_after_a_restart_and_mends_a_line_that_was_cut_off(tmp_path: Path) -> None:
+    path, told = tmp_path / "log", []
+    written(path, 3)
+    with path.open("a") as file:
+        file.write('{"body":"cut')
+    log = audit.Log(path, told.append)
+    log.add(9, "token", "DELETE /v1/tenants/b", None, 200)
+    log.close()
+    assert audit.verify(path)[0] == 4 and "cut off" in told[0]
+
+
+def test_scopes_tenants_revocation_and_the_audit_log_in_the_running_program(tmp_path: Path) -> None:
+    file = str(tmp_path / "keys.json")
+    admin = command("key", "create", "--file", file, "--scope", "admin", "--note", "on call")
+    tenant = command("key", "create", "--file", file, "--scope", "read", "--scope", "quota", "--tenant", "acme")
+    reader = command("key", "create", "--file", file, "--scope", "read")
+
+    async def scene(w: World, _: object) -> None:
+        port = await w.listens("admin")
+
+        async def call(key: str, method: str, path: str, body: Any = None) -> int:
+            raw = b"" if body is None else json.dumps(body).encode()
+            come, go = await asyncio.open_connection("127.0.0.1", port)
+            go.write(f"{method} {path} HTTP/1.1\r\nAuthorization: Bearer {key}\r\nConnection: close\r\n"
+                     f"Content-Length: {len(raw)}\r\n\r\n".encode() + raw)
+            answer = await come.read()
+            go.close()
+            return int(answer.split(b" ", 2)[1])
+
+        acme, beta = "/v1/tenants/acme", "/v1/tenants/beta"
+        zones = ["route.example"]
+        assert [await call(key, "GET", "/v1/state") for key in (admin, reader, tenant)] == [200, 200, 403]
+        assert [await call(tenant, "GET", path) for path in (acme, beta, "/v1/stats")] == [200, 403, 403]
+        assert await call(tenant, "PUT", acme, {"zones": zones, "quota": 9}) == 200  # its quota, as its scope says
+        assert await call(tenant, "PUT", acme, {"zones": ["other.example"], "quota": 9}) == 403
+        assert await call(tenant, "PUT", beta, {"quota": 1}) == 403 and await call(tenant, "DELETE", acme) == 403
+        assert await call(reader, "PUT", acme, {"zones": zones, "quota": 1}) == 403
+        assert await call(admin, "PUT", beta, {"zones": ["b.example"]}) == 200
+        run = asyncio.get_running_loop().run_in_executor
+        await run(None, command, "key", "revoke", tenant.split("_")[1], "--file", file)
+        began = time.monotonic()
+        while await call(tenant, "GET", acme) != 401:
+            assert time.monotonic() - began < 20
+            await asyncio.sleep(0.1)
+        assert "revoked" in await run(None, command, "key", "list", "--file", file)
+        statuses = [await call("thk_wrong", "GET", "/v1/state") for _ in range(8)]
+        assert statuses[0] == 401 and statuses[-1] == 429
+        assert await call(admin, "GET", "/v1/state") == 429  # whatever that address brings, for a while
+        await until(lambda: audit.verify(tmp_path / "audit.log")[0] >= 7, "the audit log")
+        done = [json.loads(json.loads(line)["body"]) for line in (tmp_path / "audit.log").read_text().splitlines()]
+        assert [(d["did"], d["outcome"]) for d in done if d["who"] == f"key {tenant.split('_')[1]}"] == [
+            (f"PUT {acme}", 200), (f"PUT {acme}", 403), (f"PUT {beta}", 403), (f"DELETE {acme}", 403)]
+        assert any(d["did"] == "authorize" and d["outcome"] == 401 for d in done)
+        assert tenant not in (tmp_path / "audit.log").read_text() and tenant not in Path(file).read_text()
+        assert "hold together" in await run(None, command, "audit", "verify", str(tmp_path / "audit.log"))
+
+    play(tmp_path, scene, OPERATOR + '\n[dns]\nlisten = "127.0.0.1:0"\n')
--- a/threadhill/admin/api.py
+++ b/threadhill/admin/api.py
@@ -29,11 +29,27 @@
     """Answers calls. Each one checks all that it is given before it changes anything."""
 
     def __init__(self, tenants: Tenants, stats: Stats, changed: Callable[[], None],
-                 resolvers: Callable[[], list[dict[str, Any]]] | None = None, explain: Explain | None = None) -> None:
+                 resolvers: Callable[[], list[dict[str, Any]]] | None = None, explain: Explain | None = None,
+                 note: Callable[[str, str, Any, int], None] | None = None) -> None:
         self.tenants, self.stats, self._changed, self._resolvers = tenants, stats, changed, resolvers
         self._explain = explain
+        self._note = note  # the audit log, where there is one
 
     def __call__(self, call: Call) -> tuple[int, Any]:
+        """Answer a call; each change, and each that was refused, is noted before its answer goes out."""
+        if call.method in ("GET", "HEAD") or self._note is None:
+            return self._answer(call)
+        who = f"key {call.caller.id}" if call.caller is not None else "token"
+        did, what = f"{call.method} {call.path}", call.body.decode("utf-8", "replace")
+        try:
+            status, body = self._answer(call)
+        except Problem as problem:
+            self._note(who, did, what, problem.status)
+            raise
+        self._note(who, did, what, status)
+        return status, body
+
+    def _answer(self, call: Call) -> tuple[int, Any]:
         self.stats.count("admin", call.method)
         path = call.path.partition("?")[0].strip("/").split("/")
         if path == ["metrics"] and call.method == "GET":
@@ -54,12 +70,23 @@
         if call.method not in methods:
             raise Problem(405, "method-not-allowed", f"{call.method} is not for {call.path}", ", ".join(methods))
         try:
+            self._permit(call, path)
             return methods[call.method](call, *path[2:])
         except Invalid as error:
             raise Problem(422, "invalid", str(error), faults=error.faults) from None
         except Conflict as error:
             raise Problem(409, "conflict", str(error), version=self.tenants.version) from None
 
+    def _permit(self, call: Call, path: list[str]) -> None:
+        if call.caller is None:
+            return
+        from threadhill.admin.access import permit
+
+        name = path[2] if len(path) == 3 and path[1] == "tenants" else None
+        old = self.tenants.by_name.get(name) if name is not None else None
+        new = read_tenant(call.json(), "tenant", name) if name is not None and call.method == "PUT" else None
+        permit(call, path, old, new)
+
     def _all(self) -> list[Tenant]:
         return [tenant for _, tenant in sorted(self.tenants.by_name.items())]
 
--- a/threadhill/admin/http.py
+++ b/threadhill/admin/http.py
@@ -5,7 +5,7 @@
 import hmac
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import orjson
 
@@ -14,7 +14,8 @@
 HEAD = 8 << 10  # bytes of a request's line and headers at most
 BODY = 1 << 20
 IDLE = 10_000_000  # microseconds without a request after which a connection is closed
-REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found",
+REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden",
+           404: "Not Found", 429: "Too Many Requests",
            405: "Method Not Allowed", 409: "Conflict", 411: "Length Required", 413: "Content Too Large",
            422: "Unprocessable Content", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
            503: "Service Unavailable", 507: "Insufficient Storage",
@@ -38,6 +39,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    caller: Any = None  # whose key it came with, where callers have keys of their own
 
     def json(self) -> Any:
         try:
@@ -49,6 +51,14 @@
 Handler = Callable[[Call], tuple[int, Any]]
 
 
+class Doorkeeper(Protocol):
+    """Knows callers by keys of their own."""
+
+    def admit(self, headers: dict[str, str], peer: str) -> Any:
+        """Who it is; Problem where nobody is known by this."""
+        ...
+
+
 def read_head(raw: bytes) -> tuple[str, str, dict[str, str]]:
     """Method, path and headers, their names in lower case."""
     lines = raw.decode("latin-1").split("\r\n")
@@ -73,13 +83,14 @@
 
     idle = IDLE
 
-    def __init__(self, token: str | None, handler: Handler, door: Door, most_body: int = BODY,
+    def __init__(self, token: str | Doorkeeper | None, handler: Handler, door: Door, most_body: int = BODY,
                  once: bool = False) -> None:
         super().__init__(door, HEAD + most_body, 4 * most_body)
         # No token: an address that only operators reach. Once: one call a connection, then it is closed.
         self._token, self._handler, self._most, self._once = token, handler, most_body, once
         self._head: tuple[str, str, dict[str, str]] | None = None
         self._length = 0
+        self._caller: Any = None
 
     def owed(self) -> bool:
         return self.backlog() > 0
@@ -119,7 +130,7 @@
             return False
         method, path, headers = self._head
         self._head, self.wanted = None, 1
-        call = Call(method, path, headers, self.inbound.take(self._length))
+        call = Call(method, path, headers, self.inbound.take(self._length), self._caller)
         keep = headers.get("connection", "").lower() != "close" and not self._once
         allow = ""
         try:
@@ -142,6 +153,10 @@
     def _authorize(self, headers: dict[str, str]) -> None:
         if self._token is None:
             return
+        if not isinstance(self._token, str):
+            peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+            self._caller = self._token.admit(headers, peer[0] if peer else "")
+            return
         scheme, _, token = headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer" or not hmac.compare_digest(token.strip().encode(), self._token.encode()):
             raise Problem(401, "unauthorized", "a valid bearer token is needed")
--- a/threadhill/cli.py
+++ b/threadhill/cli.py
@@ -119,6 +119,93 @@
                    f"{row['asked']:>7} {row['heard_ms_ago']:>6} ms")
 
 
+access_app = typer.Typer(no_args_is_help=True, help="Keys of callers of the administration API.")
+app.add_typer(access_app, name="key")
+audit_app = typer.Typer(no_args_is_help=True, help="The audit log of the administration API.")
+app.add_typer(audit_app, name="audit")
+KeyFileAt = Annotated[Path, typer.Option("--file", envvar="THREADHILL_KEY_FILE", help="the file of keys")]
+
+
+def _access(file: Path, change: Callable[[ModuleType, dict[str, Any], int], tuple[list[Any], Any]]) -> Any:
+    """Change the file of keys: what is put into it, and what comes back."""
+    import time
+
+    from threadhill.settings import Malformed
+    from threadhill.tenancy import keyfile, keys
+
+    try:
+        known = keyfile.read(file) if file.exists() else {}
+        put, told = change(keys, known, int(time.time()))
+        if put:
+            keyfile.write(file, known | {key.id: key for key in put})
+        return told
+    except (keys.Refused, Malformed, OSError, ValueError) as error:
+        _fail(error)
+
+
+@access_app.command("create")
+def access_create(file: KeyFileAt, scope: Annotated[list[str], typer.Option(help="read, purge, quota or admin")],
+                  tenant: Annotated[str, typer.Option(help="a tenant's key; none: an operator's")] = "",
+                  life: Annotated[int, typer.Option(help="seconds until it expires; 0: never")] = 0,
+                  note: Annotated[str, typer.Option(help="kept with it")] = "") -> None:
+    """Make a key and print its text, which is kept nowhere: only its hash is.
+
+    Example: threadhill key create --file keys.json --scope read --scope quota --tenant agencies
+    """
+
+    def change(keys: ModuleType, known: dict[str, Any], now: int) -> tuple[list[Any], str]:
+        key, text = keys.make([keys.Scope(s) for s in scope], now, life, tenant, note)
+        return [key], text
+
+    typer.echo(_access(file, change))
+
+
+@access_app.command("list")
+def access_list(file: KeyFileAt) -> None:
+    """All keys, without anything secret."""
+    import time
+
+    now = int(time.time())
+    for key in _access(file, lambda keys, known, now: ([], list(known.values()))):
+        state = "revoked" if key.revoked else "good" if key.good(now) else "expired"
+        left = f"{key.expires - now} s left" if key.expires and key.good(now) else ""
+        scopes = ",".join(sorted(s.value for s in key.scopes))
+        typer.echo(f"{key.id}  {state:<8} {scopes:<24} {key.tenant or '(operator)':<20} {left:<16} {key.note}")
+
+
+@access_app.command("roll")
+def access_roll(id: Annotated[str, typer.Argument(metavar="ID")], file: KeyFileAt,
+                overlap: Annotated[int, typer.Option(help="seconds for which the old one stays good")] = 3_600) -> None:
+    """Make a new key like this one and print its text; the old one stays good for the overlap."""
+
+    def change(keys: ModuleType, known: dict[str, Any], now: int) -> tuple[list[Any], str]:
+        old, new, text = keys.roll(known, id, overlap, now)
+        return [old, new], text
+
+    typer.echo(_access(file, change))
+
+
+@access_app.command("revoke")
+def access_revoke(id: Annotated[str, typer.Argument(metavar="ID")], file: KeyFileAt) -> None:
+    """End a key; running proxies take that within a second."""
+    _access(file, lambda keys, known, now: ([keys.revoke(known, id, now)], None))
+
+
+@audit_app.command("verify")
+def audit_verify(path: Annotated[Path, typer.Argument(help="the audit log")]) -> None:
+    """Check each line's hash against the line before; exit 1 where one was altered, left out or put in.
+
+    Prints the last number and hash: note them elsewhere, since a log that was cut off at a line's end holds together.
+    """
+    from threadhill.tenancy import audit
+
+    try:
+        count, last = audit.verify(path)
+    except (audit.Broken, OSError) as error:
+        _fail(f"{path}: {error}")
+    typer.echo(f"{count} lines hold together; the last one's hash is {last}")
+
+
 @overload_app.command("status")
 def overload_status(admin: Address, token: Token, json: Json = False) -> None:
     """The state of overload control, the figures that it is for, and the limits that bind now.
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -32,7 +32,9 @@
     """What the operator's file says of the administration API."""
 
     listen: tuple[str, int]
-    token: str
+    token: str = ""  # one for all callers; or:
+    keys: Path | None = None  # the file of callers' own keys
+    audit: Path | None = None  # the log of what they change
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +63,7 @@
     dns = _table(raw, "dns", {"listen", "deadline_ms", "nameservers", "connections", "nsid", "fallback",
                               "responses_per_s", "slip", "resolver_qps", "unproven_qps", "trusted", "views", "tls",
                               "per_network", "signing", "transfer"})
-    admin = _table(raw, "admin", {"listen", "token_file", "token_env"})
+    admin = _table(raw, "admin", {"listen", "token_file", "token_env", "keys_file", "audit_file"})
     try:
         tenants = tuple(read_tenants(raw.get("tenants", [])))
     except Invalid as error:
@@ -191,18 +193,22 @@
 
 
 def _read_admin(raw: dict[str, Any], environ: Mapping[str, str], base: Path) -> AdminConfig:
-    if ("token_file" in raw) == ("token_env" in raw):
-        raise Malformed("admin: name either token_file or token_env")
-    if "token_file" in raw:
+    if sum(key in raw for key in ("token_file", "token_env", "keys_file")) != 1:
+        raise Malformed("admin: name one of token_file, token_env and keys_file")
+    keys = base / text(raw["keys_file"], "admin.keys_file") if "keys_file" in raw else None
+    audit = base / text(raw["audit_file"], "admin.audit_file") if "audit_file" in raw else None
+    if keys is not None:
+        token = ""
+    elif "token_file" in raw:
         token = (base / text(raw["token_file"], "admin.token_file")).read_text().strip()
     else:
         token = environ.get(text(raw["token_env"], "admin.token_env"), "")
-    if len(token) < 16:
+    if keys is None and len(token) < 16:
         raise Malformed("admin: the token has under 16 characters")
     listen = address(raw.get("listen"), "admin.listen")
     if not listen[0].startswith("127.") and listen[0] != "::1":
         raise Malformed("admin.listen: the API speaks plain HTTP and listens on loopback only")
-    return AdminConfig(listen, token)
+    return AdminConfig(listen, token, keys, audit)
 
 
 def load_operator(path: Path, environ: Mapping[str, str] = os.environ) -> Operator:
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -27,6 +27,7 @@
 from threadhill.settings import Malformed
 
 if TYPE_CHECKING:  # each is imported where the operator's file turns it on: the platform's memory is small
+    from threadhill.admin.access import Access
     from threadhill.admin.explain import Explain
     from threadhill.dns.front import DnsConfig, DnsFront
     from threadhill.dns.signing import Signer
@@ -188,14 +189,43 @@
         from threadhill.admin.api import Api
         from threadhill.admin.http import HttpConnection
 
+        token, note = self._access(config)
         dns = self.dns
         resolvers = (lambda: dns.charging.resolvers(self.clock.now())) if dns is not None else None
         api = Api(self.engine.tenants, self.stats, lambda: log(f"tenants: version {self.engine.tenants.version}"),
-                  resolvers, self._explain() if self.overload is not None else None)
-        door = Door(self.engine, "admin client", ADMINS, lambda door: HttpConnection(config.token, api, door), log)
+                  resolvers, self._explain() if self.overload is not None else None, note)
+        door = Door(self.engine, "admin client", ADMINS, lambda door: HttpConnection(token, api, door), log)
         host = config.listen[0]
         log.say(f"admin: serving on {host}:{await door.listen(*config.listen)}")
 
+    def _access(self, config: AdminConfig) -> tuple[str | Access, Callable[[str, str, Any, int], None] | None]:
+        """How callers are known, and where what they change is noted."""
+        if config.keys is None and config.audit is None:
+            return config.token, None
+        from threadhill.admin.access import Access
+        from threadhill.tenancy.audit import Broken
+        from threadhill.tenancy.audit import Log as AuditLog
+        from threadhill.tenancy.keyfile import KeyFile
+        from threadhill.tenancy.keys import Gate
+
+        try:
+            audit = AuditLog(config.audit, log.say) if config.audit is not None else None
+            file = KeyFile(config.keys, log.say) if config.keys is not None else None
+        except Broken as error:
+            raise BadConfig(f"admin.audit_file: {config.audit}: {error}; keep it aside and begin a new one") from None
+        except (Malformed, OSError) as error:
+            raise BadConfig(f"admin: {error}") from None
+        access = Access(Gate(file.keys if file is not None else {}), audit, time.time)
+
+        def look() -> None:
+            if file is not None and file.look():
+                access.gate.take(file.keys)
+                self.stats.count("admin", "keys taken")
+            self.deadlines.add(self.clock.now() + KEYS_LOOK, look)
+
+        look()
+        return access if file is not None else config.token, access.note if audit is not None else None
+
     def _explain(self) -> Explain:
         from threadhill.admin.explain import Explain
         from threadhill.overload.metrics import page
--- /dev/null
+++ b/threadhill/tenancy/keyfile.py
@@ -0,0 +1,68 @@
+"""The file of keys: written whole and readable by its owner only, looked at again and again by the running proxy."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from threadhill.settings import Malformed
+from threadhill.tenancy.keys import MOST_KEYS, Key, read_key
+
+
+def read(path: Path) -> dict[str, Key]:
+    """All keys by id; Malformed says what is wrong with the file and what to do."""
+    found = os.stat(path)
+    if found.st_mode & 0o077:
+        raise Malformed(f"{path}: others than its owner may read or write it; chmod 600 {path}")
+    try:
+        raw = json.loads(path.read_text())
+        if not isinstance(raw, dict) or not isinstance(raw.get("keys"), list) or len(raw["keys"]) > MOST_KEYS:
+            raise ValueError(f"it holds no list of {MOST_KEYS} keys at most")
+        keys = [read_key(one) for one in raw["keys"]]
+    except ValueError as error:
+        raise Malformed(f"{path}: not a file of keys: {str(error)[:160]}; put back a copy of it, or make a new one "
+                        "with `threadhill key create`") from None
+    return {key.id: key for key in keys}
+
+
+def write(path: Path, keys: dict[str, Key]) -> None:
+    if len(keys) > MOST_KEYS:
+        raise Malformed(f"{path}: has {MOST_KEYS} keys, the most there may be: remove revoked ones")
+    beside = path.with_name(f".{path.name}.new")
+    beside.unlink(missing_ok=True)
+    with os.fdopen(os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "w") as file:
+        json.dump({"keys": [key.document() for _, key in sorted(keys.items())]}, file, indent=1)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(beside, path)
+
+
+class KeyFile:
+    """The keys in use. A file that cannot be used is told once and changes nothing."""
+
+    def __init__(self, path: Path, log: Callable[[str], None]) -> None:
+        self.path, self.log = path, log
+        self._seen = self._stamp()
+        self.keys = read(path)
+
+    def _stamp(self) -> tuple[int, int, int] | None:
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            return None
+        return found.st_ino, found.st_size, found.st_mtime_ns
+
+    def look(self) -> bool:
+        """Whether other keys were taken."""
+        stamp = self._stamp()
+        if stamp == self._seen:
+            return False
+        self._seen = stamp
+        try:
+            self.keys = read(self.path)
+        except (Malformed, OSError) as error:
+            self.log(f"keys: {error}; the keys taken before stay in use")
+            return False
+        return True
