Bound what a DNS query may make the codec look at: bytes, records, pointers of a name

Seen by reading: over UDP up to 64 KB were read, with thousands of records behind the question and names of any number of pointers to pointers; over TCP 4 KB were the bound. Change: over 4 KB, 8 additional records or 32 pointers in a name are FORMERR before any of it is gone through. With the bound on records taken out the test fails.

--- a/tests/conformance/test_dns.py
+++ b/tests/conformance/test_dns.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from pathlib import Path
 
 import dns.flags
 import dns.message
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.conformance.rows import LEFT_OUT, ROWS, TARGET, ask
+from tests.conformance.rows import raw as bytes_of
 from tests.conformance.table import table, told
 from threadhill.dns import message, options
 from threadhill.dns.message import Bad, Ignored, Record, Response
@@ -66,6 +69,21 @@
     assert len(packed) <= sum(len(message.pack_name(tuple(n))) * 2 + 10 for n in names) + len(ask().to_wire())
 
 
+def test_what_an_input_of_64_kb_costs_is_bounded_by_what_is_looked_at() -> None:
+    """Guards against queries that are cheap to send and dear to read: many records, and names of pointers to pointers.
+    Each is a fault before any of it has been gone through."""
+    question = QUERIES[0][12:]
+    many = bytes_of((1, 0, 0, 300), question + b"\0\xff\xf0\0\1\0\0\0\0\0\0" * 300)
+    chain = b"\x01a\0" + b"".join((0xC000 | at).to_bytes(2, "big") for at in (12, *range(15, 8_000, 2)))
+    deep = bytes_of((1, 0, 0, 1), chain[: 4_000])
+    began = time.perf_counter()
+    for _ in range(200):
+        for data in (many, bytes_of((1, 0, 0, 0), b"\0" * 65_000), deep):
+            with pytest.raises(Bad):
+                message.read_query(data)
+    assert (time.perf_counter() - began) / 600 < 0.02  # 5 us on the mean here: room for a machine that is busy
+
+
 def test_an_answer_that_does_not_fit_goes_by_whole_sets() -> None:
     query = message.read_query(ask().to_wire())
     answer, more = Record(message.Type.A, b"\x7f\0\0\1"), Record(message.Type.A, b"\x7f\0\0\2", ("other", "example"))
--- a/threadhill/dns/message.py
+++ b/threadhill/dns/message.py
@@ -17,6 +17,9 @@
 OUR_UDP = 1_232  # what the answering side takes and sends with it
 DO = 0x8000
 CO = 0x4000  # the asker knows of compact denial and wants NXDOMAIN told with it (RFC 9824, section 5.1)
+JUMPS = 32  # pointers of one name at most
+ADDITIONAL = 8  # records behind a query's question: an OPT and a signature are all that mean anything
+LONGEST = 4 << 10  # bytes of a query: names and an OPT are far smaller
 FARTHEST = 0x3FFF  # where a compression pointer can point to
 NO_OPTIONS = Options()  # of all queries without any
 OPT_HEAD = 11  # bytes of an OPT record before its options
@@ -145,14 +148,15 @@
 def read_name(raw: bytes, at: int) -> tuple[Labels, int]:
     """The name there and where it ends; pointers lead backwards only, so that none can loop."""
     labels: list[str] = []
-    end, length, lowest = -1, 0, at
+    end, length, lowest, jumps = -1, 0, at, 0
     while True:
         size = raw[at]
         if size & POINTER == POINTER:
             target = (size & ~POINTER) << 8 | raw[at + 1]
             end = at + 2 if end < 0 else end
-            if target >= lowest:
-                raise ValueError("a pointer does not lead backwards")
+            jumps += 1
+            if target >= lowest or jumps > JUMPS:
+                raise ValueError("a pointer does not lead backwards, or too many follow each other")
             at = lowest = target
             continue
         if size & POINTER:
@@ -215,7 +219,7 @@
     query = Query(id, flags >> 11 & 0xF, bool(flags & 0x0100), bool(flags & 0x0010), size=len(raw))
     if query.opcode:
         raise Bad(Code.NOTIMP, query)
-    if questions != 1 or answers or authority > 1:
+    if questions != 1 or answers or authority > 1 or additional > ADDITIONAL or len(raw) > LONGEST:
         raise Bad(Code.FORMERR, query)
     try:
         query.name, end = read_name(raw, HEADER.size)
