--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,9 +10,9 @@
 from tests.world import ROOT
 
 # From the decision module up to the command line; a part imports only those before it (and itself).
-ORDER = ("decision", "hostnames", "zonefile", "cli_codes", "settings", "stats", "log", "core", "documents", "tenancy",
-         "overload", "net", "dns", "admin", "config", "simhost", "operators", "serve", "plans", "control", "standin",
-         "cli", "__main__")
+ORDER = ("decision", "hostnames", "zonefile", "cli_codes", "settings", "files", "stats", "log", "core", "documents",
+         "tenancy", "overload", "net", "dns", "admin", "config", "simhost", "operators", "serve", "plans", "control",
+         "standin", "cli", "__main__")
 
 
 def imports(path: Path) -> set[str]:
--- a/threadhill/admin/cordon_file.py
+++ b/threadhill/admin/cordon_file.py
@@ -14,6 +14,8 @@
 
 import orjson
 
+from threadhill.files import Stamp, stamp
+
 NAME = "threadhill-cordons.json"
 MOST = 1 << 20  # bytes that the file may have: far more than any list of names
 
@@ -42,22 +44,15 @@
 
     def __init__(self, folder: Path, log: Callable[[str], None]) -> None:
         self.path, self.log = folder / NAME, log
-        self._seen: tuple[int, int, int] | None = None  # inode, size and time of the version last read or written
-
-    def _stamp(self) -> tuple[int, int, int] | None:
-        try:
-            found = os.stat(self.path)
-        except FileNotFoundError:
-            return None
-        return found.st_ino, found.st_size, found.st_mtime_ns
+        self._seen: Stamp | None = None  # of the version last read or written
 
     def changed(self) -> bool:
         """Whether another process wrote it since it was last read or written here."""
-        return self._stamp() != self._seen
+        return stamp(self.path) != self._seen
 
     def read(self) -> Saved | None:
         """What it holds; None where there is none, or it cannot be read (then it is set aside and logged)."""
-        self._seen = self._stamp()
+        self._seen = stamp(self.path)
         if self._seen is None:
             return None
         try:
@@ -72,7 +67,7 @@
                 aside = self.path
             self.log(f"cordons: {self.path}: cannot be read: {error}; it is kept as {aside}, and no server is out by "
                      "hand: cordon again those that are to stay out")
-            self._seen = self._stamp()
+            self._seen = stamp(self.path)
             return None
 
     def write(self, saved: dict[str, object]) -> None:
@@ -84,4 +79,4 @@
         except OSError as error:
             self.log(f"cordons: {self.path}: not written: {error}; a process that starts now will not know them")
             return
-        self._seen = self._stamp()
+        self._seen = stamp(self.path)
--- a/threadhill/dns/keys.py
+++ b/threadhill/dns/keys.py
@@ -21,7 +21,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 
 from threadhill.dns.message import pack_name
-from threadhill.dns.tls import check_private
+from threadhill.files import Stamp, check_private, stamp
 from threadhill.hostnames import labels_of
 from threadhill.settings import Malformed
 
@@ -100,9 +100,7 @@
 
 def read(path: Path) -> Key:
     """One key file; Malformed says what is wrong with it and what to do."""
-    check_private(path)
-    if path.stat().st_size > MOST_FILE:
-        raise Malformed(f"{path}: has over {MOST_FILE} bytes, which is no key")
+    check_private(path, MOST_FILE)
     try:
         raw = json.loads(path.read_text())
         private = serialization.load_pem_private_key(raw["private"].encode(), None)
@@ -197,15 +195,8 @@
         self._seen = self._stamps()
         self.zones: Mapping[str, list[Key]] = read_folder(folder)
 
-    def _stamps(self) -> list[tuple[str, int, int, int]]:
-        stamps = []
-        for path in sorted(self.folder.glob("K*.json")):
-            try:
-                found = os.stat(path)
-            except OSError:
-                continue  # removed meanwhile
-            stamps.append((path.name, found.st_ino, found.st_size, found.st_mtime_ns))
-        return stamps
+    def _stamps(self) -> list[tuple[str, Stamp | None]]:
+        return [(path.name, stamp(path)) for path in sorted(self.folder.glob("K*.json"))]
 
     def look(self) -> bool:
         """Whether other keys were taken. A set that cannot be used is told once and changes nothing."""
--- a/threadhill/dns/tls.py
+++ b/threadhill/dns/tls.py
@@ -6,27 +6,15 @@
 
 from __future__ import annotations
 
-import os
 import ssl
-import stat
 import time
 from collections.abc import Callable
 from pathlib import Path
 
+from threadhill.files import Stamp, check_private, stamp
 from threadhill.settings import Malformed
 
 ALPN = "dot"  # RFC 7858, section 10 (IANA)
-MOST = 1 << 20  # bytes of either file
-
-
-def check_private(path: Path) -> None:
-    """A private key that others may read is no secret: Malformed says what to do."""
-    found = os.stat(path)
-    if found.st_mode & (stat.S_IRWXG | stat.S_IRWXO):
-        raise Malformed(f"{path}: others than its owner may read or write it (mode {stat.S_IMODE(found.st_mode):04o}); "
-                        f"chmod 600 {path}")
-    if found.st_size > MOST:
-        raise Malformed(f"{path}: has over {MOST} bytes, which is no key")
 
 
 def make_context(certificate: Path, key: Path) -> ssl.SSLContext:
@@ -59,15 +47,8 @@
         self.context = make_context(certificate, key)
         self.loaded = 1  # pairs taken so far
 
-    def _stamps(self) -> list[tuple[int, int, int] | None]:
-        stamps: list[tuple[int, int, int] | None] = []
-        for path in (self.certificate, self.key):
-            try:
-                found = os.stat(path)
-                stamps.append((found.st_ino, found.st_size, found.st_mtime_ns))
-            except OSError:
-                stamps.append(None)
-        return stamps
+    def _stamps(self) -> list[Stamp | None]:
+        return [stamp(self.certificate), stamp(self.key)]
 
     def look(self) -> bool:
         """Whether a new pair was taken. Half of a pair that is being replaced does not fit: it is tried again at the
--- /dev/null
+++ b/threadhill/files.py
@@ -0,0 +1,31 @@
+"""What all files that a running program looks at again have in common: whether they changed, and who may read them."""
+
+from __future__ import annotations
+
+import os
+import stat
+from pathlib import Path
+
+from threadhill.settings import Malformed
+
+Stamp = tuple[int, int, int]
+MOST = 1 << 20  # bytes of a file with a secret in it
+
+
+def stamp(path: Path) -> Stamp | None:
+    """What tells one version of a file from the next: inode, size and time of its last change; None where it is not."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None
+    return found.st_ino, found.st_size, found.st_mtime_ns
+
+
+def check_private(path: Path, most: int = MOST) -> None:
+    """A secret that others may read is none: Malformed says what to do."""
+    found = os.stat(path)
+    if found.st_mode & (stat.S_IRWXG | stat.S_IRWXO):
+        raise Malformed(f"{path}: others than its owner may read or write it (mode {stat.S_IMODE(found.st_mode):04o}); "
+                        f"chmod 600 {path}")
+    if found.st_size > most:
+        raise Malformed(f"{path}: has over {most} bytes, which is no such file")
--- a/threadhill/operators.py
+++ b/threadhill/operators.py
@@ -14,10 +14,10 @@
 from threadhill.config import BadConfig
 from threadhill.core.tenants import Tenant
 from threadhill.dns.front import DnsConfig, TlsConfig
-from threadhill.dns.tls import check_private
 from threadhill.dns.transfer import TransferConfig
 from threadhill.dns.views import View, Views
 from threadhill.documents import Invalid, read_tenants
+from threadhill.files import check_private
 from threadhill.hostnames import labels_of
 from threadhill.settings import Malformed, address, mapping, number, sequence, text, whole
 
--- a/threadhill/tenancy/keyfile.py
+++ b/threadhill/tenancy/keyfile.py
@@ -7,15 +7,16 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from threadhill.files import check_private, stamp
 from threadhill.settings import Malformed
 from threadhill.tenancy.keys import MOST_KEYS, Key, read_key
 
+MOST = 8 << 20  # bytes of the file: keys have some 300 each
+
 
 def read(path: Path) -> dict[str, Key]:
     """All keys by id; Malformed says what is wrong with the file and what to do."""
-    found = os.stat(path)
-    if found.st_mode & 0o077:
-        raise Malformed(f"{path}: others than its owner may read or write it; chmod 600 {path}")
+    check_private(path, MOST)
     try:
         raw = json.loads(path.read_text())
         if not isinstance(raw, dict) or not isinstance(raw.get("keys"), list) or len(raw["keys"]) > MOST_KEYS:
@@ -44,22 +45,15 @@
 
     def __init__(self, path: Path, log: Callable[[str], None]) -> None:
         self.path, self.log = path, log
-        self._seen = self._stamp()
+        self._seen = stamp(path)
         self.keys = read(path)
 
-    def _stamp(self) -> tuple[int, int, int] | None:
-        try:
-            found = os.stat(self.path)
-        except OSError:
-            return None
-        return found.st_ino, found.st_size, found.st_mtime_ns
-
     def look(self) -> bool:
         """Whether other keys were taken."""
-        stamp = self._stamp()
-        if stamp == self._seen:
+        seen = stamp(self.path)
+        if seen == self._seen:
             return False
-        self._seen = stamp
+        self._seen = seen
         try:
             self.keys = read(self.path)
         except (Malformed, OSError) as error:
