Make the small answer to ANY, and a promise's key, in one place each

The DNS front built the answer of RFC 8482 in two places, one of them within a condition that asked the same thing twice; overload control built the key of a client's promise in two. Each is one method now, and the usual client's rate is set where the gate's other state is.

--- a/threadhill/dns/front.py
+++ b/threadhill/dns/front.py
@@ -388,19 +388,26 @@
             return self._no_name(at.zone)
         if at.kind is Kind.BOX:
             return self._box(at, query)
-        if query.type == Type.ANY:  # RFC 8482, section 4.2: a small answer instead of all there is
-            return Response(answers=[Record(Type.HINFO, b"\x07RFC8482\x00")], zone=at.zone)
+        if query.type == Type.ANY:
+            return self._any(at.zone)
         if at.kind is Kind.APEX:
             found = self._apex(at.zone, query.type)
             if found:
                 return Response(answers=found, zone=at.zone)
         return self._nothing(at.zone, self._types(at))
 
+    @staticmethod
+    def _any(zone: str) -> Response:
+        """RFC 8482, section 4.2: a small answer instead of all there is."""
+        return Response(answers=[Record(Type.HINFO, b"\x07RFC8482\x00")], zone=zone)
+
     def _static(self, query: Query, at: Place) -> Response | None:
         """What a tenant's static records say of a name; None where they say nothing."""
         here = self.statics.at(query.name)
-        if here is None or query.type == Type.ANY and here.sets:
-            return None if here is None else Response(answers=[Record(Type.HINFO, b"\x07RFC8482\x00")], zone=at.zone)
+        if here is None:
+            return None
+        if query.type == Type.ANY and here.sets:
+            return self._any(at.zone)
         found = self.statics.answer(query.name, query.type)
         if found:
             return Response(answers=found, zone=at.zone)
--- a/threadhill/overload/admission.py
+++ b/threadhill/overload/admission.py
@@ -89,6 +89,7 @@
         self.density = 0.0  # worth per unit of work of the usual ask
         self._at = 0
         self._drawn = 0.0
+        self._usual = 1.0  # asks lately of the usual client
 
     def level(self, rank: Rank, worth: float, work: float, client: str, now: int) -> int:
         """The ask's level: the lower, the sooner it is let in."""
@@ -110,8 +111,6 @@
             self.rates.popitem(last=False)
         return amount > HOG_LEAST and amount > HOG * self._usual
 
-    _usual = 1.0
-
     def lets_in(self, tenant: str, level: int, work: float) -> bool:
         """Count the ask as demanded, and tell whether it is let in."""
         demand = self.demands.get(tenant)
--- a/threadhill/overload/control.py
+++ b/threadhill/overload/control.py
@@ -112,8 +112,7 @@
         cls = self.classes.get(ask.cls)
         key = self._key(ask)
         retry = self._retry(ask, key, now)
-        # A promise is one client's: by the object alone anybody who asks for a popular one would use it up.
-        own = ask.token or f"{ask.client} {key}"
+        own = self._own(ask, key)
         back = self.planner.returned(own, now) if self.planner.promises else Return.NONE
         event = Event.FIRST if retry is None else retry
         watches = self._watches(ask, front)
@@ -148,7 +147,7 @@
         one = self.open.get(handle)
         if one is None or not come_back or not self.config.comebacks or self._all.state is State.NORMAL:
             return come_back
-        own = one.ask.token or f"{one.ask.client} {self._key(one.ask)}"
+        own = self._own(one.ask, self._key(one.ask))
         return self._refuse(one.ask, own, one.front, "the module had no room", False, False, now)
 
     def ended(self, handle: int, final: Final, now: int) -> None:
@@ -199,6 +198,11 @@
         """What a request that comes again has in common with the first one, from whatever connection."""
         return ask.token or f"{ask.cls} {ask.object} {ask.part} {ask.tenant or ''}"
 
+    @staticmethod
+    def _own(ask: Ask, key: str) -> str:
+        """A promise is one client's: by the object alone anybody who asks for a popular one would use it up."""
+        return ask.token or f"{ask.client} {key}"
+
     def _in_parts(self, cls: str) -> bool:
         found = self.classes.get(cls)
         return found is not None and found.parts
