Pass remark and waited of each answer on to the module, where a site tells them

Cause: net/lines.py Wire._answer built Ended without `remark` and `waited`, ports.Ended had no place for them, and Engine.ended left AttemptEnded's at NONE and 0. The first site tells nothing, so there it made no difference; with notes-given "all" the module took every answer for one that filled nothing: the parents' rates stayed 0 (cold parents got no credit), failures of a source were put down to caches, and waits for a source counted as a cache's own slowness.

--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -149,7 +149,7 @@
                 del self.own[attempt.server]
         took = self.clock.now() - attempt.at
         self._take(api.AttemptEnded(str(attempt.request), attempt.number, attempt.server, end.outcome, took,
-                                    closed, load=end.load, weight=attempt.weight))
+                                    closed, end.note, min(end.waited, took), end.load, attempt.weight))
 
     def listed(self, news: api.ListNews) -> None:
         """The list changed. The module knows before anything that waits is sent on, or given back to it."""
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -74,6 +74,8 @@
     tag: str = ""
     same: bool = False
     load: dict[str, float] = field(default_factory=dict)
+    note: api.Note = api.Note.NONE  # what it tells of the fill behind it, where the site tells
+    waited: int = 0  # microseconds of it spent on the source
 
 
 class Guard(Protocol):
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -29,6 +29,11 @@
          (api.FillMode.PARENT_KEEPS_NOT, "no-store-up"), (api.FillMode.RENEW, "refresh"))
 ENDS = {"ok": api.Outcome.SERVED, "current": api.Outcome.SERVED, "nothing": api.Outcome.MISS,
         "refused": api.Outcome.REFUSED, "error": api.Outcome.ERROR, "stale": api.Outcome.UNSENT}
+# What an answer's `remark` says of the fill behind it; on a site that tells nothing it is absent.
+NOTES = {"local": api.Note.HIT, "pulled": api.Note.FILLED, "pulled_far": api.Note.FROM_ORIGIN,
+         "rode": api.Note.JOINED, "expired": api.Note.OLD, "turned_away": api.Note.SOURCE_REFUSED,
+         "cut_off": api.Note.SOURCE_FAILED, "not_there": api.Note.SOURCE_LACKS,
+         "no_place": api.Note.NO_FILL_PLACE, "far_fault": api.Note.ORIGIN_FAILED}
 # In the module's names, and what a figure can be at most; one beyond that, or none at all, would upset its averages.
 REPORT = {"inflight": ("inflight", 1e6), "rif": ("inflight", 1e6), "util": ("util", 1e3), "busy": ("util", 1e3),
           "x1": ("link", 1e3), "x0": ("hits", 1.0)}
@@ -46,6 +51,11 @@
     return load
 
 
+def read_waited(text: str) -> int:
+    """`waited`, milliseconds spent on the source, as microseconds; what is no such figure counts as nothing waited."""
+    return round(float(text) * 1_000) if FIGURE.fullmatch(text) else 0
+
+
 def read_answer(line: bytes) -> tuple[str, str, dict[str, str], int] | None:
     """Id, word, fields and length of an answer's line; None where it is none."""
     match = ANSWER.fullmatch(line)
@@ -170,7 +180,8 @@
             return
         remember(self.done, id, None, DONE)
         ended = Ended(ENDS[word], body, fields.get("ver", ""), word == "current",
-                      read_report(fields.get("report", "")))
+                      read_report(fields.get("report", "")), NOTES.get(fields.get("remark", ""), api.Note.NONE),
+                      read_waited(fields.get("waited", "")))
         self.pool.done(self)
         self.pool.caches.ended(attempt, ended)
 
