--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -497,8 +497,7 @@
             server.ejections, server.ejected_until = (server.ejections - 1) * (server.doubt > DOUBT), self.now
 
     def put_out(self, server: Server) -> None:
-        time = min(EJECT_MOST, EJECT_FIRST << min(server.ejections, 10))
-        server.ejected_until = self.now + self.spread(time)
+        server.ejected_until = self.now + self.spread(min(EJECT_MOST, EJECT_FIRST << min(server.ejections, 10)))
         server.ejections += 1
 
     def eject(self, server: Server, silent: bool = False) -> None:
@@ -513,9 +512,8 @@
             better.ejected_until = 0  # blamed before the ill peer that held it up: they change places
         self.put_out(server)
         server.unheard = 0
-        for job in self.jobs.values():
-            safe = silent and self.set.cancel and job.cls.effect is api.Effect.SAFE
-            if safe and job.out and job.tried[-1][0] == server.entry.server:
+        for job in self.jobs.values() if silent and self.set.cancel else ():
+            if job.cls.effect is api.Effect.SAFE and job.out and job.tried[-1][0] == server.entry.server:
                 self.actions.append(api.CancelAttempt(job.ask.id, len(job.tried) - 1))
 
     def may_retry(self, job: Job) -> bool:
