Read settings strictly, by key, and hold a second installation of three hubs in HCL

Need: a second deployment, whose settings differ in each of these. Read before: "false" for a flag counted as true, a list with a value too few left classes without their fresh times, a kind's place out of range meant none, a share of 6.9, a zone that the zones do not name, not-a-number figures. Each is refused now with its key. `notes` and `reports` in HCL settings say what caches' answers tell; proxies were always told "none" and four reports.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -19,7 +19,7 @@
 from benchmarks import plan_apply
 from benchmarks.rig import Load, Rig, Watcher, free_ports, until
 from tests.test_dns import SRV, Reply, query
-from tests.test_plans import BASE, read
+from tests.test_plans import BASE, OTHER, read
 from threadhill.control import client, sqlite
 from threadhill.control.ledger import LEASE, Ledger, Refused
 from threadhill.control.sqlite import Sqlite
@@ -320,6 +320,14 @@
     assert "drain box.costa-3" in planner.plan(one, records, gone).blocked
 
 
+def test_an_installation_of_three_hubs_is_applied_and_grows(tmp_path: Path) -> None:
+    plane = Plane(tmp_path, names=("east", "central", "west-1", "west-2"))
+    assert plane.apply(OTHER)["state"] == "done"
+    assert plane.apply(OTHER, busiest=True)["state"] == "done"
+    boxes = [r for r in plane.ledger.fleet.records.values() if r.kind == "box"]
+    assert len(boxes) == 15 and not plane.plan(OTHER, busiest=True)["steps"]
+
+
 def test_no_step_of_a_place_overtakes_another_at_run_time(tmp_path: Path) -> None:
     """Guards against a drain that uses up what an earlier one needs, which has to wait for something elsewhere."""
     plane = Plane(tmp_path)
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import json
 import os
+import re
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from tests.test_proxy import play
-from tests.world import SETTINGS, World, whole
+from tests.world import ROOT, SETTINGS, World, whole
+from threadhill.decision import interface as api
 from threadhill.net.lines import read_waited
+from threadhill.settings import Malformed, read_settings
 
 # Three hubs and a branch; the class that runs at the origin first, with no key; notes told, sizes not.
 CLASSES = [
@@ -19,7 +24,7 @@
      "value": 1.0},
     {"aim-stretch": 2.0, "deadline": 6_000_000, "name": "big-record", "objective": 500_000, "repeat": "read_like",
      "value": 2.0}]
-OTHER: dict[str, Any] = {
+OTHER: dict[str, Any] = SETTINGS | {
     "extra": SETTINGS["extra"] | {
         "class-write": [True, False, False], "crew-by-zone": [0, 0, 0, 1], "fresh-for": [0, 12_000_000, 0],
         "hub-of": [0, 1, 2, 0], "in-parts": [False, False, False], "notes-given": "all", "purge-slack": 300_000,
@@ -78,3 +83,108 @@
         assert len(w.asked()) == 1 and "replay" not in w.origin.asked[0]
 
     island(tmp_path, scene)
+
+
+def told(**change: Any) -> dict[str, Any]:
+    """The other deployment's settings with changes: `extra__x` stands for x of extra, `_` for `-`."""
+    options: dict[str, Any] = json.loads(json.dumps(OTHER))
+    for path, value in change.items():
+        group, _, key = path.replace("_", "-").rpartition("--")
+        place = options.setdefault(group, {}) if group else options
+        place.pop(key, None)
+        if value is not None:
+            place[key] = value
+    return options
+
+
+def test_the_other_deployments_settings_are_read_as_they_are_told() -> None:
+    read = read_settings(told())
+    assert [cls.name for cls in read.classes.values()] == ["record-request", "small-record", "big-record"]
+    order, small, big = read.classes.values()
+    assert (order.effect, order.write, order.window) == (api.Effect.UNSAFE, True, 0)
+    assert (small.fresh, big.fresh, small.parts or big.parts) == (12_000_000, 0, False)
+    assert (read.tells, read.zone_hub, read.parent_cold_from) == (api.Tells.ALL, (0, 1, 2, 0), 0.069)
+    assert (read.drain_grace, read.fall_window, read.fall_multiple) == (500_000, 1_000_000, 2.0)
+
+
+@pytest.mark.parametrize(("change", "said"), [
+    ({"extra__notes_given": "some"}, "notes-given is unknown"), ({"extra__notes_given": ""}, "notes-given is unknown"),
+    ({"extra__hub_of": [0, 1, 2]}, "hub-of has 3 values, zones 4"), ({"extra__hub_of": [0, 1, 2, 4]}, "has place 4"),
+    ({"extra__hub_of": [0, 1, 2, "west"]}, "hub-of must be a whole number"),
+    ({"extra__hub_of": [0, 1, 2, None]}, "hub-of is missing"),
+    ({"extra__fresh_for": [0, 12_000_000]}, "fresh-for has 2 values, profiles 3"),
+    ({"extra__fresh_for": [0, -1, 0]}, "fresh-for of class small-record is -1"),
+    ({"extra__class_write": [1, 0, 0]}, "class-write must be true or false"),
+    ({"extra__in_parts": ["no", "no", "no"]}, "in-parts must be true or false"),
+    ({"extra__upper_cold_from": 6.9}, "upper-cold-from is 6.9; as a share it is 1 at most"),
+    ({"extra__upper_kind": 3}, "upper-kind is 3; machine-types has 3 names"),
+    ({"extra__shares_fills": "yes"}, "shares-fills must be true or false"),
+    ({"obligations__drain_grace": "500ms"}, "drain-grace must be a whole number"),
+    ({"obligations__drain_grace": -1}, "drain-grace is -1"),
+    ({"obligations__start_capacity": float("nan")}, "start-capacity must be a number"),
+    ({"report__columns": ["util", "util"]}, 'report.columns has "util" twice'),
+    ({"report__columns": "util"}, "report.columns must be an array"),
+    ({"zone": "edge-9"}, 'zone is "edge-9", which zones does not name'), ({"zone": 4}, "zone must be text"),
+    ({"zones": ["north", "", "south", "edge-1"]}, r"zones\[1\] is empty"),
+    ({"zones": ["north", "north", "south", "edge-1"]}, 'zones has "north" twice'),
+    ({"membership_mode": "push"}, "membership-mode is unknown"),
+    ({"profiles": [*CLASSES[:2], CLASSES[1]]}, 'profiles has "small-record" twice'),
+    ({"profiles": [CLASSES[0] | {"name": ""}, *CLASSES[1:]]}, r"profiles\[0\].name\[0\] is empty"),
+    ({"profiles": [CLASSES[0] | {"repeat": "never"}, *CLASSES[1:]]}, r"profiles\[0\].repeat is unknown"),
+    ({"profiles": [CLASSES[0] | {"late-worth": 20}, *CLASSES[1:]]}, "late-worth of class record-request is 20")])
+def test_settings_with_an_odd_value_are_refused_with_their_key(change: dict[str, Any], said: str) -> None:
+    """Guards against a start on nonsense: "false" counted as true, a short list left classes without their figures."""
+    with pytest.raises(Malformed, match=said):
+        read_settings(told(**change))
+
+
+def test_no_operator_or_site_is_known_by_name() -> None:
+    """Guards against a switch for one deployment: what differs between two is in their settings."""
+    names = re.compile(r"pista|andina|preview.edge|island|weather archive|franchise", re.I)
+    files = [*(ROOT / "threadhill").rglob("*.py"), *(ROOT / "deploy").glob("*.toml")]
+    assert len(files) > 80
+    assert [str(file) for file in files if names.search(file.read_text())] == []
+
+
+def test_a_report_of_three_figures_is_read_and_steers(tmp_path: Path) -> None:
+    """`x1` tells that the link is full; no share of hits is told, and none is made up: misses are left unfilled."""
+
+    async def scene(w: World) -> None:
+        for box in w.caches:
+            box.behave = lambda ask: ("ok", "ver=v1,born=1764576000000,remark=local,report=inflight:1;util:0.3;x1:90",
+                                      whole(ask))
+        client = await w.client()
+        await client.get("big-record")
+        await client.get("big-record", obj="00000000000000aa")
+        assert [("from" in ask) for ask in w.asked()] == [True, False]
+
+    island(tmp_path, scene)
+
+
+def test_fresh_time_bounds_only_the_class_that_has_one(tmp_path: Path) -> None:
+    """Guards against one class's figure read for another's: after a purge the age is sent, within the fresh time."""
+
+    async def scene(w: World) -> None:
+        w.journal.add({"expire": {"set": 17, "stamp": int(time.time() * 1000)}})
+        await w.told()
+        client = await w.client()
+        for cls in ("small-record", "big-record"):
+            assert (await client.get(cls))[0] == "200"
+        small, big = w.asked()
+        assert 0 < int(small["oldest"]) <= 6_000 and 0 < int(big["oldest"]) <= 6_000
+        assert "refresh" in small["mode"] and "refresh" not in big["mode"]
+
+    island(tmp_path, scene)
+
+
+def test_a_drain_holds_as_cache_and_as_source_with_three_hubs(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        client = await w.client()
+        w.journal.hosts(w.caches[0].member("DRAINING"), w.parent.member("DRAINING"))
+        await w.told()
+        for n in range(12):
+            assert (await client.get("big-record", obj=f"{n:016x}"))[0] == "200"
+        assert {ask["from"] for ask in w.asked()} == {w.origin.name}
+        assert not w.caches[0].asked and not w.parent.asked
+
+    island(tmp_path, scene)
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -15,11 +15,13 @@
 from threadhill.control import progress
 from threadhill.control.membership import Members
 from threadhill.control.store import StepState
-from threadhill.plans import configuration, fmt, forecast, planner, rules, saved, syntax
+from threadhill.decision import interface as api
+from threadhill.plans import configuration, fmt, forecast, options, planner, rules, saved, syntax
 from threadhill.plans.faults import Invalid
 from threadhill.plans.planner import Observed
 from threadhill.plans.resource import Resource
 from threadhill.plans.rules import Fleet, Phase, Record
+from threadhill.settings import read_settings
 
 EXAMPLE = ROOT / "deploy" / "example"
 BASE = (EXAMPLE / "fleet.hcl").read_text()
@@ -373,3 +375,43 @@
         old = fleet.records["box.costa-2"]
         fleet.put(Record("box", old.name, old.attrs, phase, since=5))
         assert [s.id for s in planner.plan(wanted, fleet.records.values()).steps] == ids
+
+
+# --- an installation of another shape
+
+OTHER = (EXAMPLE / "three-hubs" / "fleet.hcl").read_text()
+
+
+def test_an_installation_of_three_hubs_is_planned_and_settings_reach_its_proxies() -> None:
+    assert fmt.canonical(OTHER) == OTHER
+    made = read(OTHER)
+    plan = planner.plan(made, [])
+    assert not plan.blocked and sum(s.action == "add" for s in plan.steps) >= 12 + 3 + 1
+    told = read_settings(options.options(made, made["proxy.west-2"]))
+    assert (told.tells, told.zone, told.crew, told.routers) == (api.Tells.ALL, "west-1", 2, 4)
+    assert dict(zip(told.zones, told.zone_hub, strict=True)) == {
+        "central": 0, "east": 1, "west": 2, "central-1": 0, "east-1": 1, "west-1": 2}
+    assert [(c.effect, c.write, c.fresh) for c in told.classes.values()] == [
+        (api.Effect.UNSAFE, True, 0), (api.Effect.SAFE, False, 12_000_000), (api.Effect.SAFE, False, 0)]
+    assert (told.drain_grace, told.parent_cold_from, told.fall_window) == (500_000, 0.069, 1_000_000)
+
+
+def test_its_busiest_days_caches_come_in_and_the_forecast_gives_each_a_part() -> None:
+    before, after = read(OTHER), read(OTHER, busiest=True)
+    plan = planner.plan(after, settled(before).records.values())
+    assert not plan.blocked
+    assert {s.id for s in plan.steps} == {"add box.east-3", "add box.central-4", "add box.west-5"}
+    told = forecast.before_and_after(before, after, ["node.west-1"])["node.west-1"]
+    assert set(told) == {"small-record", "big-record"}
+    for by_box in told.values():
+        assert by_box["box.west-5"]["before"] == 0 and 0.05 < by_box["box.west-5"]["after"] < 0.4
+        assert sum(side["after"] for side in by_box.values()) == pytest.approx(1, abs=0.01)
+
+
+def test_a_state_of_before_has_its_caches_tell_nothing() -> None:
+    """Guards against a store that an earlier version wrote, whose settings know neither notes nor reports."""
+    made = read(BASE)
+    old = made["settings.settings"]
+    made["settings.settings"] = Resource("settings", "settings",
+                                         {k: v for k, v in old.attrs.items() if k not in ("notes", "reports")})
+    assert options.options(made, made["proxy.p-1"])["extra"]["notes-given"] == "none"
--- a/threadhill/plans/model.py
+++ b/threadhill/plans/model.py
@@ -147,6 +147,9 @@
     grace_ms: int = Field(0, ge=0)
 
 
+REPORTS = ("rif", "busy", "x1", "x0")  # what a cache's answer may report of its load
+
+
 class Settings(Model):
     """What holds for the whole installation; there is one block of it."""
 
@@ -161,6 +164,8 @@
     upper_fall_multiple: float = Field(2, ge=1)
     purge_grace_ms: int = Field(500, ge=0, le=60_000)
     purge_done_s: float = Field(6, ge=0, le=600)
+    notes: Literal["all", "hit", "none"] = "none"  # what caches' answers tell of how a miss was filled
+    reports: Annotated[list[Literal["rif", "busy", "x1", "x0"]], AfterValidator(_unique)] = list(REPORTS)
     attempts: int = Field(8, ge=1, le=100)
     back_off_ms: int = Field(500, ge=0, le=60_000)
     settle_s: float | None = Field(None, ge=0, le=3_600)  # from drained to removed; default: the longest give-up time
--- a/threadhill/plans/options.py
+++ b/threadhill/plans/options.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from threadhill.plans.model import REPORTS
 from threadhill.plans.resource import Resource
 
 REPEATS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
@@ -31,7 +32,7 @@
             "crew-by-zone": [sum(1 for node, _ in crews if node == f"node.{name}") for name in names],
             "fresh-for": [c["fresh_ms"] * 1_000 for _, c in classes],
             "hub-of": [hubs.index(nodes[n]["hub"].removeprefix("hub.") if n in nodes else n) for n in names],
-            "in-parts": [c["parts"] for _, c in classes], "master-kind": 2, "notes-given": "none",
+            "in-parts": [c["parts"] for _, c in classes], "master-kind": 2, "notes-given": attrs.get("notes", "none"),
             "old-copy-worth": [0.7] * len(classes), "parent-fall-multiple": attrs["upper_fall_multiple"],
             "parent-ramp": int(attrs["upper_cold_s"] * 1e6), "purge-slack": attrs["purge_grace_ms"] * 1_000,
             "purge-takes": int(attrs["purge_done_s"] * 1e6), "shares-fills": True, "sideways": "location",
@@ -51,7 +52,7 @@
                       "repeat": REPEATS[c["repeat"]], "repeat-window": c["window_ms"] * 1_000, "streamed": False,
                       "value": c["worth"]} for name, c in classes],
         "rank": [name for _, name in crews].index(proxy.name) if proxy.kind == "proxy" else 0,
-        "report": {"columns": ["rif", "busy", "x1", "x0"], "via": "answers"},
+        "report": {"columns": list(attrs.get("reports", REPORTS)), "via": "answers"},
         "tick": 2_000,
         "zone": proxy.attrs["node"].removeprefix("node."),
         "zones": names,
--- a/threadhill/settings.py
+++ b/threadhill/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 from threadhill.decision import interface as api
@@ -12,6 +13,7 @@
     "idempotency_key": api.Effect.KEYED,
     "non_idempotent": api.Effect.UNSAFE,
 }
+LISTS = {"pushed": False, "on_request": True}
 
 
 class Malformed(Exception):
@@ -38,11 +40,32 @@
     """A number, absent counting as 0."""
     if value is None:
         return 0.0
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
         raise Malformed(f"{what} must be a number, not {json.dumps(value)[:60]}")
     return float(value)
 
 
+def flag(value: Any, what: str) -> bool:
+    """True or false, absent counting as false: any other word would count as true."""
+    if value is None:
+        return False
+    if not isinstance(value, bool):
+        raise Malformed(f"{what} must be true or false, not {json.dumps(value)[:60]}")
+    return value
+
+
+def names(value: Any, what: str) -> tuple[str, ...]:
+    """An array of names, absent counting as none: none of them empty or there twice."""
+    found: list[str] = []
+    for i, name in enumerate(sequence(value, what)):
+        if not text(name, f"{what}[{i}]"):
+            raise Malformed(f"{what}[{i}] is empty; it must be a name")
+        if name in found:
+            raise Malformed(f"{what} has {json.dumps(name)[:60]} twice")
+        found.append(name)
+    return tuple(found)
+
+
 def text(value: Any, what: str) -> str:
     """A text that may not be absent."""
     if not isinstance(value, str):
@@ -84,6 +107,9 @@
     return table[value]
 
 
+BY_CLASS = ("class-write", "fresh-for", "stale-for", "old-copy-worth", "in-parts")
+
+
 def read_class(raw: Any, index: int, extra: dict[str, Any]) -> api.RequestClass:
     """One entry of `profiles`, with what `extra` adds by its place."""
     raw = mapping(raw, f"profiles[{index}]")
@@ -94,7 +120,7 @@
 
     scope = raw.get("dedup-scope")
     return api.RequestClass(
-        name=text(raw.get("name"), f"profiles[{index}].name"),
+        name=names([raw.get("name")], f"profiles[{index}].name")[0],
         effect=one_of(EFFECTS, raw.get("repeat"), f"profiles[{index}].repeat"),
         scope=one_of({s.value: s for s in api.Scope}, "all" if scope is None else scope, "dedup-scope"),
         window=whole(raw.get("repeat-window"), "repeat-window"),
@@ -103,12 +129,12 @@
         deadline=whole(raw.get("deadline"), "deadline"),
         worth=number(raw.get("value"), "value"),
         late_worth=number(raw.get("late-worth"), "late-worth"),
-        streamed=bool(raw.get("streamed")),
-        write=bool(by_place("class-write")),
+        streamed=flag(raw.get("streamed"), "streamed"),
+        write=flag(by_place("class-write"), "class-write"),
         fresh=whole(by_place("fresh-for"), "fresh-for"),
         grace=whole(by_place("stale-for"), "stale-for"),
         old_worth=number(by_place("old-copy-worth"), "old-copy-worth"),
-        parts=bool(by_place("in-parts")),
+        parts=flag(by_place("in-parts"), "in-parts"),
     )
 
 
@@ -120,7 +146,10 @@
                 "purge_grace": "purge-slack", "purge_done": "purge-takes", "max_advice": "max-retry-after",
                 "max_attempts": "max-attempts", "connect_timeout": "connect-timeout", "flow": "client-kb-per-s"}
 CLASS_NOT_NEGATIVE = {"window": "repeat-window", "aim": "objective", "aim_stretch": "aim-stretch",
-                      "deadline": "deadline", "fresh": "fresh-for", "grace": "stale-for"}
+                      "deadline": "deadline", "fresh": "fresh-for", "grace": "stale-for", "worth": "value",
+                      "late_worth": "late-worth", "old_worth": "old-copy-worth"}
+SHARES = {"cold_from": "start-capacity", "parent_cold_from": "upper-cold-from"}  # of a whole
+CLASS_SHARES = {"late_worth": "late-worth", "old_worth": "old-copy-worth"}
 
 
 def check_settings(settings: api.Settings, told_routers: int) -> None:
@@ -133,6 +162,20 @@
         for field, name in CLASS_NOT_NEGATIVE.items():
             if getattr(cls, field) < 0:
                 raise Malformed(f"{name} of class {cls.name} is {getattr(cls, field)}; it cannot be below 0")
+        for field, name in CLASS_SHARES.items():
+            if getattr(cls, field) > 1:
+                raise Malformed(f"{name} of class {cls.name} is {getattr(cls, field)}; as a share it is 1 at most")
+    for field, name in SHARES.items():
+        if getattr(settings, field) > 1:
+            raise Malformed(f"{name} is {getattr(settings, field)}; as a share it is 1 at most")
+    if settings.zones and settings.zone and settings.zone not in settings.zones:
+        raise Malformed(f"zone is {json.dumps(settings.zone)[:60]}, which zones does not name")
+    for zone, hub in zip(settings.zones, settings.zone_hub, strict=False):
+        if not 0 <= hub < len(settings.zones):
+            raise Malformed(f"hub-of has place {hub} for {zone}; zones has places 0 to {len(settings.zones) - 1}")
+    for name, told in (("hub-of", settings.zone_hub), ("zone-link-kb-per-s", settings.zone_link)):
+        if told and len(told) != len(settings.zones):
+            raise Malformed(f"{name} has {len(told)} values, zones {len(settings.zones)}: one each is needed")
     if len(settings.zone_routers) > len(settings.zones):
         raise Malformed(f"crew-by-zone names {len(settings.zone_routers)} zones, zones only {len(settings.zones)}")
     for zone, crew in zip(settings.zones, settings.zone_routers, strict=False):
@@ -146,26 +189,35 @@
     """The settings of an instance; keys that are not known are skipped. What does not hold together is refused."""
     raw = mapping(raw, "options")
     extra, limits, rules = (mapping(raw.get(key), key) for key in ("extra", "limits", "obligations"))
-    kinds = sequence(raw.get("machine-types"), "machine-types")
+    kinds = names(raw.get("machine-types"), "machine-types")
     classes = [
         read_class(item, i, extra) for i, item in enumerate(sequence(raw.get("profiles"), "profiles"))
     ]
+    names([cls.name for cls in classes], "profiles")
+    for key in BY_CLASS:
+        told = len(sequence(extra.get(key), key))
+        if told and told != len(classes):
+            raise Malformed(f"{key} has {told} values, profiles {len(classes)}: one each is needed")
+    names(mapping(raw.get("report"), "report").get("columns"), "report.columns")
 
     def kind(key: str) -> str | None:
         place = extra.get(key)
         place = -1 if place is None else whole(place, key)
-        return kinds[place] if 0 <= place < len(kinds) else None
+        if not -1 <= place < len(kinds):
+            raise Malformed(f"{key} is {place}; machine-types has {len(kinds)} names, and -1 stands for none")
+        return kinds[place] if place >= 0 else None
 
-    def named(enum: Any, value: Any, absent: Any) -> Any:
-        return absent if value is None else one_of({e.value: e for e in enum}, value, enum.__name__)
+    def named(enum: Any, where: dict[str, Any], key: str, absent: Any) -> Any:
+        return absent if where.get(key) is None else one_of({e.value: e for e in enum}, where[key], key)
 
     told_routers = whole(raw.get("n-instances"), "n-instances")
     settings = api.Settings(
         classes={cls.name: cls for cls in classes},
-        zone=raw.get("zone") or "",
-        zones=tuple(sequence(raw.get("zones"), "zones")),
-        zone_hub=tuple(sequence(extra.get("hub-of"), "hub-of")),
-        zone_link=tuple(sequence(extra.get("zone-link-kb-per-s"), "zone-link-kb-per-s")),
+        zone=text(raw.get("zone") or "", "zone"),
+        zones=names(raw.get("zones"), "zones"),
+        zone_hub=tuple(must_whole(hub, "hub-of") for hub in sequence(extra.get("hub-of"), "hub-of")),
+        zone_link=tuple(number(link, "zone-link-kb-per-s")
+                        for link in sequence(extra.get("zone-link-kb-per-s"), "zone-link-kb-per-s")),
         zone_routers=tuple(sequence(extra.get("crew-by-zone"), "crew-by-zone")),
         routers=max(1, told_routers) if told_routers >= 0 else told_routers,
         rank=whole(raw.get("rank"), "rank"),
@@ -173,13 +225,13 @@
         origin_kind=kind("master-kind"),
         flow=number(extra.get("client-kb-per-s"), "client-kb-per-s"),
         tick=whole(raw.get("tick"), "tick"),
-        direct=bool(extra.get("bypass-allowed")),
-        joins=bool(extra.get("shares-fills")),
-        siblings=named(api.Siblings, extra.get("sideways"), api.Siblings.NONE),
-        tells=named(api.Tells, extra.get("notes-given"), api.Tells.NONE),
-        weights=named(api.Weights, raw.get("weight-source"), api.Weights.NONE),
-        marks_repeats=bool(mapping(raw.get("callers"), "callers").get("marks-retry")),
-        list_on_request=raw.get("membership-mode") == "on_request",
+        direct=flag(extra.get("bypass-allowed"), "bypass-allowed"),
+        joins=flag(extra.get("shares-fills"), "shares-fills"),
+        siblings=named(api.Siblings, extra, "sideways", api.Siblings.NONE),
+        tells=named(api.Tells, extra, "notes-given", api.Tells.NONE),
+        weights=named(api.Weights, raw, "weight-source", api.Weights.NONE),
+        marks_repeats=flag(mapping(raw.get("callers"), "callers").get("marks-retry"), "marks-retry"),
+        list_on_request=one_of(LISTS, raw.get("membership-mode", "pushed"), "membership-mode"),
         ask_within=whole(rules.get("ask-within"), "ask-within"),
         answer_slack=whole(rules.get("grace-to-answer"), "grace-to-answer"),
         drain_grace=whole(rules.get("drain-grace"), "drain-grace"),
@@ -192,12 +244,12 @@
         parent_fall_multiple=number(extra.get("parent-fall-multiple", 1), "parent-fall-multiple"),
         purge_grace=whole(extra.get("purge-slack"), "purge-slack"),
         purge_done=whole(extra.get("purge-takes"), "purge-takes"),
-        cancel=bool(limits.get("cancel")),
-        probes=bool(limits.get("probes")),
-        advice=bool(limits.get("retry-after")),
+        cancel=flag(limits.get("cancel"), "cancel"),
+        probes=flag(limits.get("probes"), "probes"),
+        advice=flag(limits.get("retry-after"), "retry-after"),
         max_advice=whole(limits.get("max-retry-after"), "max-retry-after"),
         max_attempts=max(1, whole(limits.get("max-attempts"), "max-attempts")),
-        second_copies=bool(limits.get("second-copies")),
+        second_copies=flag(limits.get("second-copies"), "second-copies"),
         connect_timeout=whole(limits.get("connect-timeout"), "connect-timeout"),
     )
     check_settings(settings, told_routers)
