Tell no longer time to come back than the site lets, where the front refuses by itself

Cause: resp.py told 500 ms whatever limits.retry-after and max-retry-after say; both sites' most happens to be 500 ms. Found by going through the constants of net/ and core/ for what the settings say. A test for each setting; both fail without.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -188,3 +188,19 @@
         assert not w.caches[0].asked and not w.parent.asked
 
     island(tmp_path, scene)
+
+
+@pytest.mark.parametrize(("limits", "backoff"), [({"retry-after": False}, None), ({"max-retry-after": 120_000}, "120")])
+def test_the_front_tells_no_more_than_the_site_lets_it_when_it_refuses_by_itself(
+        tmp_path: Path, limits: dict[str, Any], backoff: str | None) -> None:
+    """Guards against half a second told where the first site's most happened to be that."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None
+        client = await w.client()
+        tags = [client.ask("big-record", obj=f"{n:016x}") for n in range(40)]
+        word, fields, _ = await client.answer(tags[-1])  # past the 32 that one connection may have open
+        assert (word, fields.get("backoff")) == ("503", backoff)
+
+    play(tmp_path, scene, settings=OTHER | {"limits": OTHER["limits"] | limits})
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -21,7 +21,7 @@
 FAULT_PAUSE = 25_000  # microseconds for which nothing is read from who sent what cannot be used
 FAULT_DOUBLED = 4  # times that this is doubled for who goes on
 BACKLOG = 256 << 10  # bytes waiting for a client from which on nothing more is read from it
-COME_BACK = 500_000  # microseconds that one refused by the front itself is asked to stay away
+COME_BACK = 500_000  # microseconds that one refused by the front itself is asked to stay away, where the site lets it
 BUDGET = 3_600_000  # milliseconds that a client may wait at most
 SHARDS = 256
 QUIET_LOOK = 50_000  # microseconds between looks for connections to close while this proxy drains
@@ -132,6 +132,8 @@
     def __init__(self, engine: Engine, classes: dict[str, api.RequestClass], most: int, all_outbound: int,
                  soon: Callable[[Callable[[], None]], object], log: Callable[[str], None]) -> None:
         self.engine, self.classes, self.soon, self.log = engine, classes, soon, log
+        told = engine.router.set
+        self.come_back = min(COME_BACK, told.max_advice) if told.advice else 0
         self.door = Door(engine, "client", most, lambda door: Client(self, door), log)
         self.all_outbound = all_outbound  # bytes that may wait for all clients together
         self.ready = False
@@ -304,7 +306,7 @@
             return False
         if len(self.open) >= OPEN or self.front.refusing or self.front.sends_away(self.front.engine.clock.now()):
             self.front.engine.stats.count("front_refused", ask.cls)
-            self._say(tag, Answer(Final.REFUSED, come_back=COME_BACK))
+            self._say(tag, Answer(Final.REFUSED, come_back=self.front.come_back))
             return len(self.open) < OPEN  # only a client past its own bound is at fault
         ask.client = self.label
         self.open[tag] = -1, ask.rid
