--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -179,6 +179,16 @@
     return sum(fetch.source != fetch.server for fetch in sent)
 
 
+def test_fetches_that_a_parent_has_out_are_no_sign_of_the_link() -> None:
+    """Guards against x1 read alike from both: of a parent it counts fetches, 90 of which are nothing unusual."""
+    script = Script(entries=fleet(caches=()))
+    (sent,) = script.ask("straight")
+    assert sent.server in PARENTS
+    script.end(sent, load={"link": 90.0})
+    script.list([cache(number) for number in CACHES])
+    assert filled(script, 20) == 20
+
+
 def test_a_full_link_is_shut_by_degrees() -> None:
     """Seen on a second site: a link from 1.2 to 2.4 times full was open, then shut, and swung between empty and 11."""
     script = Script()
