--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -14,8 +14,7 @@
 from threadhill.decision.interface import FillMode, Note, Outcome
 from threadhill.decision.state import Fleet, Job, Mean, Rate, Server, Tally, faded, remember, take_hints
 
-SECOND = 1_000_000  # microseconds
-INTERVAL = SECOND  # microseconds over which a request rate is counted, as the design page sets it
+SECOND = INTERVAL = 1_000_000  # microseconds; a request rate is counted over as many, as the design page sets it
 RATE_WEIGHT = 0.3  # weight of the newest interval in a rate: a few seconds of memory
 RATE_FLOOR = 0.5  # requests a second per copy: what comes less than every other second keeps one copy
 SHARE_OF_CACHE = 0.1  # T as a part of the router's rate per ready cache: ten such objects fill a cache evenly
@@ -68,8 +67,7 @@
         self.fleet = Fleet(settings.zone, settings.parent_kind, settings.origin_kind)
         self.jobs: dict[str, Job] = {}
         self.rates: dict[str, Rate] = {}
-        self.total = Rate()  # requests
-        self.work, self.fills = Tally(), Tally()  # seconds of sending that were served, and that were filled
+        self.total, self.work, self.fills = Rate(), Tally(), Tally()  # requests; seconds of sending served, and filled
         self.sends = {name: Mean(FIRST_SEND, 1) for name in settings.classes}
         self.usual_took, self.usual_send, self.usual_bad = Mean(), Mean(), Mean(USUAL_LEAST, 50)
         self.fill_time: dict[bool, Mean] = {}
@@ -253,9 +251,8 @@
         # Guard 9: a jammed link serves nobody in time, so the cache is asked only for what it holds. What is
         # small for its link time is still filled, as more answers fit.
         excess = (self.link - LINK_JAM) / LINK_RAMP * job.send / (self.usual_send.value or 1)
-        if source is None or self.random.random() < excess or draw >= self.fill_chance(job, source):
-            return cache, cache
-        return cache, source
+        filled = source is not None and self.random.random() >= excess and draw < self.fill_chance(job, source)
+        return cache, source if filled else cache
 
     def route_write(self, job: Job) -> tuple[Server, Server] | None:
         """Uncacheable classes take the shortest way that can run them: the origin, or through a cache."""
@@ -325,8 +322,8 @@
             self.filling[job.ask.id, len(job.tried)] = source.entry.server
         server.unheard_since = server.unheard_since if server.unheard else self.now
         server.unheard += 1
-        join, renew = FillMode.JOIN * self.set.joins, FillMode.RENEW * bool(job.cls.fresh)
-        held = FillMode.HELD_ONLY * (job.held_only and source is not server)
+        mode = FillMode.JOIN * self.set.joins | FillMode.RENEW * bool(job.cls.fresh)
+        mode |= FillMode.HELD_ONLY * (job.held_only and source is not server)
         limit = max(1, job.deadline - self.now - 2 * ANSWER_EARLY)  # before the timer, to be learnt from
         spare = len(job.tried) + 1 < self.set.max_attempts and self.retries >= 1 and self.link < LINK_JAM
         if spare and job.cls.effect is api.Effect.SAFE:
@@ -335,7 +332,7 @@
         job.out, job.late, job.sent_at = True, False, self.now
         heapq.heappush(self.due, (self.now + int(job.aim or job.ask.left) + 1, job.ask.id, len(job.tried) - 1))
         self.actions.append(api.Fetch(job.ask.id, server.entry.server, limit, self.age(job),
-                                      source.entry.server, FillMode(join | renew | held), 0 if job.write else 1))
+                                      source.entry.server, FillMode(mode), 0 if job.write else 1))
 
     def age(self, job: Job) -> int:
         """Guard 5: after a purge no older copy, until all have dropped theirs; else the class's limit."""
