Give a source that serves many locations room for as many fills as stand for it

Ruled out: the link, which reports nothing there.

Cause: choice.py gave every source FILLS_FIRST / routers, 72 for the whole fleet. With nine parents that is 72 for 3.3 locations each; an origin that stands for all of them had 72 for 30. For it may_fill also scaled this router's own fills by the number of routers, which is 0 or 200.

Now the room is 72 for three locations, and in proportion where, by crew-by-zone and the list, a source serves more; what the others have there is reckoned for the only source as for parents. Test: a_source_that_stands_for_many; without the mend 30-0-10 and 30-5-2 fail.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -673,6 +673,28 @@
     assert 0.6 * choice.FILLS_LEAST < least < 1.4 * choice.FILLS_LEAST
 
 
+@pytest.mark.parametrize(("locations", "parents", "sources"), [(3, 0, 1), (30, 0, 10), (30, 10, 1), (30, 5, 2)])
+def test_a_source_that_stands_for_many_is_asked_for_as_many_fills(locations: int, parents: int, sources: int) -> None:
+    """Seen on a site without parents, 180 proxies at 30 locations, calm: 46 to 57% refused. The whole fleet had the
+    room that one parent of three locations has."""
+    routers = 2 * locations
+    zones = ("hub", "here", *(f"z{n}" for n in range(2, locations + 1)))
+    settings = replace(SETTINGS, tells=api.Tells.NONE, routers=routers, zones=zones,
+                       zone_routers=(0, *[2] * locations))
+    entries = fleet(parents=range(101, 101 + parents))
+    source = 101 if parents else ORIGIN
+    fills = 0
+    for seed in range(routers):
+        script = Script(settings, entries, seed=seed)
+        if parents:
+            script.router.fleet.origin.pace = (9.0, script.now)  # it is no way out
+        for name in range(max(1, parents) * 2_000 // routers):
+            for sent in script.ask(f"o{name}"):
+                held = isinstance(sent, api.Fetch) and sent.mode & api.FillMode.HELD_ONLY
+                fills += isinstance(sent, api.Fetch) and sent.source == source and not held
+    assert 0.7 * sources * choice.FILLS_FIRST < fills < 1.3 * sources * choice.FILLS_FIRST
+
+
 def test_an_ill_source_is_told_from_the_caches_that_ask_it_by_a_few_failures() -> None:
     """Guards against means over ten outcomes: a router that meets a parent seldom learnt of its end too late, and
     put half of the blame on the caches."""
--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -1,7 +1,6 @@
 """The decisions of one router instance: which cache, which source, how old a copy, when to give up.
 
-Interface: interface.py. The ordinary way follows Xia et al.: count an object's rate, one more copy on the next cache
-of its hash order when the rate per copy passes a threshold. Guards: docs/design.md. Settings, events, seed decide.
+After Xia et al.: an object whose rate per copy passes a threshold gets one more copy. Guards: docs/design.md.
 """
 
 from __future__ import annotations
@@ -36,6 +35,7 @@
 ROOM_FIRST, ROOM_LEAST = 24.0, 6.0  # attempts that a server may hold of all: before anything is known, and always
 LOOKS = 3.0  # rooms that looks for what is held may fill
 FILLS_FIRST, FILLS_LEAST = 72.0, 36.0  # fills that all may ask a source for at once: before one came late, and always
+SERVED = 3  # locations that such a source is sized for; one that stands for more sources has room for more
 ORIGIN_WELL, ORIGIN_FILLS = 1.5, 16.0  # the same of the origin, for what parents have no room for, up to this pace
 FILLS_SHRINK, FILLS_GROW = 0.05, 0.01  # parts of that room: off for a late one, on for one in time, so 1 in 6 may be
 ROOM_SHRINKS = 0.1  # part of the room taken off for a refusal or an answer after the aim
@@ -48,8 +48,7 @@
 SUSPECT = 0.25  # how slow a server is taken for that nothing is known of, where it is asked who was
 PACE_SAFETY = 0.6  # part of the aim that an answer should take, a fill too: times are means, and half are longer
 ANSWER_EARLY = 2_000  # microseconds before its deadline at which an open request is failed
-COME_BACK, ASK_AGAIN = SECOND // 2, 2 * SECOND  # microseconds: a refused client stays away at most, a failed list call
-SPREAD = 0.5  # part of such a time that is left to chance
+COME_BACK, ASK_AGAIN, SPREAD = SECOND // 2, 2 * SECOND, 0.5  # wait after a refusal, a failed list call; part by chance
 
 
 class Router:
@@ -58,10 +57,8 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.set, self.random = settings, random.Random(seed)
         self.crew = settings.crew  # routers of this location
-        # What protects a server binds all routers that send there. Each one's part, by chance where under one:
-        self.room_first, self.room_least = ROOM_FIRST / self.crew, ROOM_LEAST / self.crew
-        fills = (bound / settings.routers for bound in (FILLS_FIRST, FILLS_LEAST, ORIGIN_FILLS))
-        self.fills_first, self.fills_least, self.origin_fills = fills
+        self.room_first, self.room_least = ROOM_FIRST / self.crew, ROOM_LEAST / self.crew  # a part of what binds all
+        self.fills_least, self.origin_fills = FILLS_LEAST / settings.routers, ORIGIN_FILLS / settings.routers
         self.weight = RATE_WEIGHT / self.crew ** 0.25
         self.now, self.unsure, self.actions = 0, 0, []
         self.fleet = Fleet(settings.zone, settings.parent_kind, settings.origin_kind)
@@ -105,7 +102,12 @@
 
     def on_list(self, news: api.ListNews) -> None:
         if news.kind is not api.ListKind.FAILED:
-            self.fleet.update(news, self.room_first, self.fills_first)
+            self.fleet.update(news, self.room_first)
+            serves = sum(map(bool, self.set.zone_routers)) / max(1, len(self.fleet.parents))  # locations each
+            fills = max(1.0, serves / SERVED) / self.set.routers
+            self.fills_least = FILLS_LEAST * fills
+            for source in [s for s in self.fleet.servers.values() if s.fill_room == math.inf]:
+                source.fill_room = FILLS_FIRST * fills
         elif self.set.list_on_request:
             self.actions.append(api.SetTimer(self.spread(ASK_AGAIN), "list"))
 
@@ -139,8 +141,7 @@
         """Guards 1 to 3: those that may be chosen; if all look ill the fault lies elsewhere, unless silent."""
         silence = max(SILENT, SILENT_TIMES * self.usual_took.value)
         for s in servers:
-            # A hung server fails nothing: it is known by silence. Covers a cut network and long stalls too.
-            if s.unheard >= SILENT_SENDS and self.now - s.unheard_since > silence:
+            if s.unheard >= SILENT_SENDS and self.now - s.unheard_since > silence:  # hung, cut off or stalled
                 s.lost = self.set.direct  # then there is a way past it
                 self.eject(s, silent=True)
         well = [s for s in servers if self.now >= s.ejected_until] or [s for s in servers if not s.lost]
@@ -160,11 +161,12 @@
         return part < share or (0.5 + part) * self.others(server) < share * self.crew
 
     def may_fill(self, source: Server, share: float, part: float) -> bool:
-        """Guard 11: the same for a fill. All locations are taken to ask parents as this one does."""
+        """Guard 11: the same for a fill. All locations are taken to ask as this one does."""
         if share >= 1 or source.fills >= 1:
             return source.fills + part < share
         here = sum((s.open + self.others(s)) * (1 - s.hits) for s in self.fleet.caches) / self.crew
-        own = here / len(self.fleet.parents) if source in self.fleet.parents else source.fills_lately(self.now)
+        asked = self.fleet.parents or [self.fleet.origin]
+        own = here / len(asked) if source in asked else source.fills_lately(self.now)
         return part < share or (0.5 + part) * self.set.routers * own < share * self.set.routers
 
     def in_time_chance(self, job: Job, server: Server) -> float:
@@ -261,8 +263,7 @@
             return None
         name = job.ask.object or job.ask.id
         fit = [origin] if self.set.direct else self.fit(self.fleet.in_order(name, self.fleet.caches), job.work)
-        ways = [s for s in fit if self.in_scope(job, s)]
-        ways = [s for s in ways if s.entry.server not in job.avoid] or ways
+        ways = sorted((s for s in fit if self.in_scope(job, s)), key=lambda s: s.entry.server in job.avoid)
         return (ways[0], origin) if ways else None
 
     def on_request(self, ask: api.Request) -> None:
--- a/threadhill/decision/state.py
+++ b/threadhill/decision/state.py
@@ -191,8 +191,8 @@
         self.most_caches = self.most_parents = 1  # the most that were ready at once
         self.rebuild({})
 
-    def update(self, news: api.ListNews, room: float, fills: float) -> None:
-        """Take list news. One that restarted is a new server; a new one starts with these rooms."""
+    def update(self, news: api.ListNews, room: float) -> None:
+        """Take list news. One that restarted is a new server; a new one starts with this room."""
         servers = self.servers
         if news.kind is not api.ListKind.CHANGES:
             named = {entry.server for entry in news.entries}
@@ -202,7 +202,7 @@
             if entry.state is api.State.GONE:
                 servers.pop(entry.server, None)
             elif known is None or known.entry.since != entry.since:
-                servers[entry.server] = Server(entry, room, fill_room=fills)
+                servers[entry.server] = Server(entry, room)
             else:
                 known.entry = entry
         self.rebuild(servers)
