End a repeat that waits for its connection when its window is over

Read from the code, then forced: may_retry asked only whether the window still ran when the module decided; the attempt then waited for its dial, up to the connect time-out (400 ms), and lines.py wrote it whenever that came up. On a deployment with a window under that it was written after it, so an order could run twice.

Each Fetch now names the moment from which on it must not begin (choice.py, repeat_until); the pool ends one that still waits then, by its deadline and, where the dial comes up in that very turn, as it would be written. Table and deadline are left by one way (_leave).

--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -261,7 +261,7 @@
             match action:
                 case api.Fetch():
                     self._send(action.id, action.server, action.limit, action.source, action.age, action.mode,
-                               action.keep)
+                               action.keep, action.until)
                 case api.Look():
                     self._send(action.id, action.server, action.limit, action.server, 0, api.FillMode.PLAIN, 0)
                 case api.HandOver():
@@ -286,7 +286,7 @@
             request.timer = key
 
     def _send(self, id: str, server: int, limit: int, source: int, age: int, mode: api.FillMode,
-              keep: int) -> None:
+              keep: int, until: int = 0) -> None:
         handle = int(id)
         request = self.requests.get(handle)
         if request is None or self.caches is None:
@@ -308,7 +308,7 @@
         self.stats.count("sent", request.ask.cls)
         cls = self.router.set.classes.get(request.ask.cls)
         once = cls is None or cls.effect is api.Effect.UNSAFE
-        self.caches.send(attempt, Order(request.ask, server, source, limit, age, mode, keep, once))
+        self.caches.send(attempt, Order(request.ask, server, source, limit, age, mode, keep, once, until))
 
     def _hand_over(self, handle: int, server: int, hold: int) -> None:
         """Tell the front the server, and the module, once the client should be done there, that it was told."""
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -64,6 +64,7 @@
     mode: api.FillMode = api.FillMode.PLAIN
     keep: int = 0
     once: bool = False  # it must never run twice, so what may have run can't be sent again
+    until: int = 0  # the moment from which on it must not begin any more; 0: none
 
 
 @dataclass(slots=True)
--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -332,8 +332,8 @@
         job.tried.append((server.entry.server, source.entry.server))
         job.out, job.late, job.sent_at = True, False, self.now
         heapq.heappush(self.due, (self.now + int(job.aim or job.ask.left) + 1, job.ask.id, len(job.tried) - 1))
-        self.actions.append(api.Fetch(job.ask.id, server.entry.server, limit, self.age(job),
-                                      source.entry.server, FillMode(mode), 0 if job.write else 1))
+        self.actions.append(api.Fetch(job.ask.id, server.entry.server, limit, self.age(job), source.entry.server,
+                                      FillMode(mode), 0 if job.write else 1, self.repeat_until(job)))
 
     def age(self, job: Job) -> int:
         """Guard 5: after a purge no older copy, until all have dropped theirs; else the class's limit."""
@@ -525,12 +525,15 @@
 
     def may_retry(self, job: Job) -> bool:
         """Guard 4: within the attempts allowed and the router's budget, which a failing fleet can't raise."""
-        too_late = self.now >= job.deadline - 2 * ANSWER_EARLY  # it would be given up as soon as it is sent
-        spent = len(job.tried) >= self.set.max_attempts or too_late or self.retries < 1
-        if spent or not job.may_have_run or job.cls.effect is api.Effect.SAFE:
-            return not spent
-        left = job.may_have_run[0][1] + job.cls.window - self.set.tick - self.now
-        return job.cls.effect is api.Effect.KEYED and left > 0
+        spent = len(job.tried) >= self.set.max_attempts or self.retries < 1
+        return not spent and self.now < self.repeat_until(job)
+
+    def repeat_until(self, job: Job) -> int:
+        """Guard 6: until when an attempt may begin, or wait to: once it may have run, only as long as it is dropped."""
+        late, effect = job.deadline - 2 * ANSWER_EARLY, job.cls.effect  # too late to be worth sending
+        if not job.may_have_run or effect is api.Effect.SAFE:
+            return late
+        return min(late, job.may_have_run[0][1] + job.cls.window - self.set.tick) if effect is api.Effect.KEYED else 0
 
     def spread(self, time: int) -> int:
         """About so long, by the seed: what all routers see at once must not bring all of them back at once."""
--- a/threadhill/decision/interface.py
+++ b/threadhill/decision/interface.py
@@ -347,6 +347,7 @@
     source: int
     mode: FillMode
     keep: int
+    until: int = 0  # the moment from which on it must not begin any more, if it has not by then; 0: none
 
 
 @dataclass(frozen=True, slots=True)
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -93,6 +93,7 @@
     order: Order
     wire: Wire | None = None
     at: int = 0
+    due: tuple[int, int] | None = None  # the deadline of one that waits: then it must not begin any more
 
 
 class Wire(Stream):
@@ -221,6 +222,9 @@
             return
         while self.waiting:
             sending = self.caches.sendings.get(self.waiting[0])
+            if sending is not None and self.caches.overdue(sending):  # its timer's turn has not come yet
+                self.caches.ended(self.waiting.popleft(), Ended(api.Outcome.UNSENT))
+                continue
             wire = self._pick(sending.order) if sending is not None else None
             if sending is not None and wire is None:
                 break
@@ -283,6 +287,7 @@
             wire.suspect = True
             return False
         sending.wire, sending.at = wire, self.caches.engine.clock.now()
+        self.caches.engine.deadlines.drop(sending.due)
         wire.open[sending.order.ask.rid] = attempt
         self.caches.engine.stats.count("relayed", sending.order.ask.cls)
         self.caches.engine.stats.count("bytes_out", "servers", len(body))
@@ -395,11 +400,24 @@
         if server is None or source is None or not server.ready:
             self.engine.ended(attempt, Ended(api.Outcome.UNSENT))
             return
-        self.sendings[attempt] = Sending(order.server, order)
+        sending = self.sendings[attempt] = Sending(order.server, order)
         server.send(attempt)
+        if order.until and sending.wire is None and attempt in self.sendings:
+            sending.due = self.engine.deadlines.add(order.until, lambda: self.ended(attempt, Ended(api.Outcome.UNSENT)))
 
-    def drop(self, attempt: int) -> bool:
+    def overdue(self, sending: Sending) -> bool:
+        """Whether one that still waits must not begin any more."""
+        return 0 < sending.order.until <= self.engine.clock.now()
+
+    def _leave(self, attempt: int) -> Sending | None:
+        """The one way out of the table: what it held is given back once."""
         sending = self.sendings.pop(attempt, None)
+        if sending is not None:
+            self.engine.deadlines.drop(sending.due)
+        return sending
+
+    def drop(self, attempt: int) -> bool:
+        sending = self._leave(attempt)
         if sending is None or sending.wire is None:
             return False
         wire, id = sending.wire, sending.order.ask.rid
@@ -473,7 +491,7 @@
     # --- what the pools call
 
     def ended(self, attempt: int, end: Ended) -> None:
-        if self.sendings.pop(attempt, None) is not None:
+        if self._leave(attempt) is not None:
             self.engine.ended(attempt, end)
 
     def head(self, order: Order) -> bytes:
