End connections in order: half-close, read to the end, then close; nothing is begun for who left

The listener's queue was emptied in the turn in which the end came, so 40 connections were taken and closed unread. A request half there was dropped. With all deadlines at 0.3 s the end waited 3.7 s, SIGKILL comes after 1.0. - A client that sent much that could not be used was held up to 0.4 s a turn; what stood behind was begun 0.78 s after its client had ended its side, and after its NEVERMIND, which both stood behind it unread. - Half a message for 2.2 s ended the whole connection, with the requests open on it. - An end of the client's side dropped what waited for it in the ring.

Cause: stream.py had close (over unread bytes), linger and abort, with a bound only in Guest; serve.py _look took 'nothing owed' for 'all read'; resp.py stopped reading during a pause, so neither the end nor NEVERMIND was seen.

Now Stream has one orderly close (what was written goes out, this direction is shut, what comes is thrown away, bounded by LINGER while the peer takes something) and abort; who ends its side has gone and still gets what was said. After SIGTERM each connection is closed in order once nothing is owed or unread on it, and the process ends when all are gone or SIGKILL is near. A pause goes on reading, looks ahead for what was taken back, asks the kernel (POLLRDHUP) whether the client has left, and counts the wait off the request's time. The door closes ahead of need, so that an orderly close does not keep newcomers waiting.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,16 +6,28 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import socket
+import struct
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from types import SimpleNamespace
+from typing import Any
+
+import pytest
 
 from tests.test_proxy import play
-from tests.world import SETTINGS, World, until
+from tests.world import OBJECT, SETTINGS, Box, World, until
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.ports import Ask, Ended, Order
 from threadhill.decision import interface as api
+from threadhill.net.door import Guest
 from threadhill.net.lines import CacheServers, Limits, Pool, Wire
+from threadhill.net.resp import bulk
+from threadhill.net.stream import LINGER
 from threadhill.stats import Stats
 
 
@@ -47,6 +59,91 @@
         self.listener.close()
 
 
+def ask(tag: int, cls: str = "art-pages", body: bytes = b"", **fields: Any) -> bytes:
+    """A request as it stands on the wire."""
+    fields = {"rid": os.urandom(8).hex(), "budget": 30_000, "obj": OBJECT, "n": 0, "shard": 17} | fields
+    return bulk(b"ASK", b"%d" % tag, cls.encode(), ",".join(f"{k}={v}" for k, v in fields.items()).encode(), body)
+
+
+class Hand:
+    """A client by hand: each `send` is one write, and nothing is read before it is told to."""
+
+    def __init__(self, where: socket.socket) -> None:
+        self.socket = where
+
+    @classmethod
+    async def connect(cls, w: World, receive: int = 0) -> Hand:
+        """`receive`: bytes of the receive buffer, so that what is not read stays with the proxy's machine."""
+        made = socket.socket()
+        if receive:
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+        made.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(made, ("127.0.0.1", w.port))
+        return cls(made)
+
+    async def send(self, *messages: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self.socket, b"".join(messages))
+
+    def done(self) -> None:
+        """End this side only."""
+        self.socket.shutdown(socket.SHUT_WR)
+
+    def reset(self) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+    async def read(self, count: int = 1 << 16) -> bytes:
+        async with asyncio.timeout(40):
+            return await asyncio.get_running_loop().sock_recv(self.socket, count)
+
+    async def until(self, text: bytes) -> bytes:
+        """What comes up to and with these bytes."""
+        raw = b""
+        while text not in raw:
+            more = await self.read()
+            assert more, f"it ended after {raw[-200:]!r}"
+            raw += more
+        return raw
+
+    async def rest(self) -> bytes:
+        """What comes until the proxy ends its side; a reset fails the test."""
+        raw = b""
+        while more := await self.read():
+            raw += more
+        return raw
+
+
+@contextmanager
+def stopped(w: World) -> Iterator[None]:
+    """The process stands still: what its sockets get meanwhile comes to it all at once."""
+    w.process.send_signal(signal.SIGSTOP)
+    while Path(f"/proc/{w.process.pid}/stat").read_text().rpartition(")")[2].split()[0] != "T":
+        time.sleep(0.001)
+    try:
+        yield
+    finally:
+        w.process.send_signal(signal.SIGCONT)
+
+
+async def leaving(w: World) -> Hand:
+    """SIGTERM was sent and is known to the program; a connection that is ended as soon as it lets go of clients."""
+    watch = await Hand.connect(w)
+    await watch.send(bulk(b"STATUS", b"1"))
+    await watch.until(b"serving")
+    w.process.send_signal(signal.SIGTERM)
+    for tag in range(2, 10_000):
+        await watch.send(bulk(b"STATUS", b"%d" % tag))
+        if b"not_serving" in await watch.until(b"serving"):
+            return watch
+    raise AssertionError("SIGTERM was not noticed")
+
+
+async def gone(w: World) -> None:
+    async with asyncio.timeout(40):
+        assert await w.process.wait() == 0
+    await w.reading
+
+
 def profiles(name: str, **more: object) -> list[dict[str, object]]:
     """The classes of the settings, one of them with other figures."""
     return [p | (more if p["name"] == name else {}) for p in SETTINGS["profiles"]]
@@ -127,3 +224,326 @@
     assert b"%016x" % 2 in written and below.ends == [(1, Ended(api.Outcome.UNSENT))]
     below.deadlines.sweep(below.now + 1_000)  # nothing is ended twice, and nothing that was written is
     assert len(below.ends) == 1
+
+
+BIG = 200_000
+
+
+def test_an_answer_that_was_not_read_yet_survives_the_end_of_the_program(tmp_path: Path) -> None:
+    """Guards against a process that ends over a connection: what the client sends just then meets a closed socket, the
+    reset takes along what it has not read of its answer. Nothing that comes after the shutdown is sent on."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: ("ok", "ver=a,born=1", b"x" * BIG)
+        slow = await Hand.connect(w, receive=4_096)
+        await slow.send(ask(1))
+        await until(lambda: w.counted("served", "art-pages") == 1, "the answer to be written")
+        watch = await leaving(w)
+        await watch.rest()
+        asked = len(w.asked())
+        await slow.send(ask(2, obj="00000000000000aa"))  # it crosses the close
+        raw = await slow.rest()
+        assert raw.count(b"x") == BIG and raw.endswith(b"\r\n")
+        slow.socket.close()
+        watch.socket.close()
+        await gone(w)
+        assert len(w.asked()) == asked
+
+    play(tmp_path, scene)
+
+
+def test_what_waits_in_the_listeners_queue_when_the_program_stops_taking_is_answered(tmp_path: Path) -> None:
+    """Guards against an end in the very turn in which the queue was emptied: its connections were taken, and closed
+    unread. The process stands still while they come, until its time for taking is over."""
+
+    async def scene(w: World) -> None:
+        await leaving(w)
+        with stopped(w):
+            hands = [await Hand.connect(w) for _ in range(40)]  # more than are taken in one turn
+            for hand in hands:
+                await hand.send(ask(1))
+            await asyncio.sleep(0.8)  # SERVE_ON is over when it goes on
+        for hand in hands:
+            raw = await hand.rest()
+            assert raw.count(b"\r\n200\r\n") + raw.count(b"\r\n503\r\n") == 1, raw
+            hand.socket.close()
+        await gone(w)
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("half", ["unread", "read"])
+def test_a_request_that_is_half_there_when_the_program_ends_is_answered_when_it_is_whole(
+        tmp_path: Path, half: str) -> None:
+    async def scene(w: World) -> None:
+        slow = await Hand.connect(w)
+        raw = ask(1)
+        watch = await leaving(w)
+        if half == "read":
+            await slow.send(raw[:40])
+            await until(lambda: w.counted("client", "opened") == 2)
+            await watch.rest()  # it lets go of who is idle
+        else:
+            with stopped(w):
+                await slow.send(raw[:40])
+                await asyncio.sleep(0.8)
+        await slow.send(raw[40:])
+        answered = await slow.rest()
+        assert b"\r\n503\r\n" in answered or b"\r\n200\r\n" in answered
+        slow.socket.close()
+        watch.socket.close()
+        await gone(w)
+
+    play(tmp_path, scene)
+
+
+def test_a_second_sigterm_changes_nothing(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        held: list[str] = []
+        for box in w.boxes:
+            box.behave = lambda ask: held.append(ask["id"])
+        client = await w.client()
+        tag = client.ask(budget=2_000)
+        await until(lambda: held)
+        watch = await leaving(w)
+        w.process.send_signal(signal.SIGTERM)
+        await watch.rest()
+        for box in w.boxes:
+            for writer in box.writers:
+                writer.write(f"{held[-1]} ok ver=a,born=1 4\r\nlate\r\n".encode())
+        assert (await client.answer(tag))[2] == b"late"
+        client.writer.close()
+        watch.socket.close()
+        await gone(w)
+
+    play(tmp_path, scene)
+
+
+def test_the_end_comes_before_sigkill_where_all_deadlines_are_short(tmp_path: Path) -> None:
+    """Guards against a figure of one deployment: three seconds were taken for the longest deadline where all are
+    shorter, and SIGKILL comes 0.7 s after the longest. Here a client holds its connection, and reads nothing."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: ("ok", "ver=a,born=1", b"x" * 240_000)
+        dead = await Hand.connect(w, receive=4_096)
+        await dead.send(*(ask(n, n=n, budget=300) for n in range(1, 33)))
+        watch = await leaving(w)
+        began = time.monotonic()
+        await gone(w)
+        assert time.monotonic() - began < 1.0
+        dead.socket.close()
+        watch.socket.close()
+
+    short = [p | {"deadline": 300_000, "objective": 100_000} for p in SETTINGS["profiles"]]
+    play(tmp_path, scene, settings={"profiles": short})
+
+
+# --- clients that leave
+
+BAD = b"".join(bulk(b"ASK", b"%d" % tag, b"no-such-class", b"-") for tag in range(1, 81))
+
+
+@pytest.mark.parametrize("how", ["closes", "resets", "ends its side", "takes it back"])
+def test_a_request_that_waits_behind_others_is_not_begun_for_a_client_that_has_left(tmp_path: Path, how: str) -> None:
+    """Guards against attempts for nobody: who sends much that cannot be used is taken from ever more slowly, and what
+    stood behind that was begun half a second after its client had gone, which stood behind it in turn."""
+
+    async def scene(w: World) -> None:
+        before = await w.client()
+        assert (await before.get(obj="00000000000000aa"))[0] == "200"  # its cache has a connection
+        client = await Hand.connect(w)
+        wanted = ask(100, obj="00000000000000aa")
+        if how == "takes it back":
+            await client.send(BAD, wanted, bulk(b"NEVERMIND", b"100"), ask(101, obj="00000000000000bb"))
+            await until(lambda: [a for a in w.asked() if a["thing"] == "00000000000000bb"])
+        else:
+            await client.send(BAD, wanted)
+            if how == "ends its side":
+                client.done()
+                raw = await client.rest()
+                assert b"$2\r\n16\r\n" in raw  # what was answered before comes all the same
+            elif how == "resets":
+                client.reset()
+            client.socket.close()
+            await until(lambda: w.counted("client", "closed") == 1, "the connection to be gone")
+        assert (await before.get(obj="00000000000000aa"))[0] == "200"
+        assert len([a for a in w.asked() if a["thing"] == "00000000000000aa"]) == 2
+
+    play(tmp_path, scene, caches=1)
+
+
+@pytest.mark.parametrize("how", ["closes", "resets", "ends its side", "takes it back"])
+def test_what_waits_for_a_dial_is_not_written_for_a_client_that_has_left(tmp_path: Path, how: str) -> None:
+    async def scene(w: World) -> None:
+        w.origin.server.close()
+        w.origin.reset()
+        place = NotUp(w.origin.host, w.origin.port)
+        client = await Hand.connect(w)
+        await client.send(ask(1, "license-buy", b"x", token="a"))
+        await until(lambda: w.counted("sent", "license-buy") == 1)
+        if how == "takes it back":
+            await client.send(bulk(b"NEVERMIND", b"1"))
+        elif how == "ends its side":
+            client.done()
+        elif how == "resets":
+            client.reset()
+        else:
+            client.socket.close()
+        await until(lambda: w.counted("client_gone", "license-buy") == 1)
+        await place.let()
+        await until(lambda: place.came, "the dial to come up late")
+        other = await Hand.connect(w)
+        await other.send(ask(1, "license-buy", b"y", token="b"))
+        await until(lambda: b"replay=b" in place.read)
+        assert b"replay=a" not in place.read
+        place.close()
+
+    play(tmp_path, scene, settings={"limits": SETTINGS["limits"] | {"connect-timeout": 20_000_000}})
+
+
+@pytest.mark.parametrize("how", ["closes", "resets", "ends its side", "takes it back"])
+def test_who_has_left_gets_no_further_attempt_when_the_first_one_fails(tmp_path: Path, how: str) -> None:
+    """The refusal comes after the client has gone; so does the reset of the attempt's connection."""
+
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None
+        client = await Hand.connect(w)
+        await client.send(ask(1, rid="00000000000000aa"))
+        await until(w.asked)
+        if how == "takes it back":
+            await client.send(bulk(b"NEVERMIND", b"1"))
+        elif how == "ends its side":
+            client.done()
+        elif how == "resets":
+            client.reset()
+        else:
+            client.socket.close()
+        await until(lambda: [box for box in w.boxes if box.undone == ["00000000000000aa"]], "it to be undone")
+        for box in w.boxes:
+            for writer in box.writers:
+                writer.write(b"00000000000000aa refused - 0\r\n\r\n")
+            box.reset()
+        other = await w.client()
+        for box in w.boxes:
+            box.behave = Box.serve_it
+        assert (await other.get(obj="00000000000000bb"))[0] == "200"
+        assert len([a for a in w.asked() if a["id"] == "00000000000000aa"]) == 1
+
+    play(tmp_path, scene, settings={"costs": {"handshake": 0.08}})  # a connection is not left for one that was given up
+
+
+def test_a_client_that_sends_and_leaves_in_one_write_is_given_up_at_once(tmp_path: Path) -> None:
+    async def scene(w: World) -> None:
+        for box in w.boxes:
+            box.behave = lambda ask: None
+        with stopped(w):
+            client = await Hand.connect(w)
+            await client.send(ask(1, rid="00000000000000aa"))
+            client.socket.close()
+        await until(lambda: w.counted("client", "closed") == 1)
+        asked = len(w.asked())
+        await until(lambda: sum(len(box.undone) for box in w.boxes) == asked, "what was begun to be undone")
+        assert asked <= 1 and w.counted("client_gone", "art-pages") == 1
+
+    play(tmp_path, scene, settings={"costs": {"handshake": 0.08}})
+
+
+class Transport:
+    """A transport whose peer reads when the test says: what it took, and what became of it."""
+
+    def __init__(self) -> None:
+        self.taken = b""
+        self.ends: list[str] = []
+        self.full = False
+
+    def write(self, data: bytes) -> None:
+        self.taken += data
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def is_closing(self) -> bool:
+        return "close" in self.ends or "abort" in self.ends
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *more, **named: self.ends.append(name)
+
+
+def guest(now: list[int]) -> tuple[Guest, Transport, Deadlines]:
+    """A connection of a door, its other end and the deadlines, with the time in `now`."""
+    deadlines = Deadlines(lambda when: None, lambda error: None)
+    host = SimpleNamespace(clock=SimpleNamespace(now=lambda: now[0]), stats=Stats(), deadlines=deadlines)
+    door = SimpleNamespace(engine=host, guests={}, name="client", free=lambda group: None)
+    one, transport = Guest(door, 1_000, 10_000), Transport()
+    one.parse = lambda: None
+    one.connection_made(transport)
+    transport.ends.clear()
+    return one, transport, deadlines
+
+
+def test_who_ends_its_side_while_its_answer_is_half_written_gets_the_rest() -> None:
+    """Guards against an end of the peer's side that took along what waited for it in the ring. Forced at the protocol:
+    the kernel's buffers take megabytes, and tell of room in steps larger than what may wait here."""
+    one, transport, deadlines = guest([1_000_000])
+    one.write(b"first ")
+    one.pause_writing()
+    one.write(b"second ")
+    one.write(b"third")
+    assert one.eof_received() is True  # the transport stays up
+    assert not transport.is_closing() and not one.write(b"no more")
+    one.resume_writing()
+    assert transport.taken == b"first second third" and transport.ends[-1] == "close"
+    one.connection_lost(None)
+    assert len(deadlines) == 0
+
+
+def test_a_close_waits_as_long_as_the_peer_takes_what_it_is_owed_and_not_longer() -> None:
+    now = [1_000_000]
+    one, transport, deadlines = guest(now)
+    one.pause_writing()
+    one.write(b"x" * 3_000)
+    one.close()
+    one.close()
+    for _ in range(3):  # it reads a little in each bound
+        now[0] += LINGER
+        one.outbound.skip(500)
+        deadlines.sweep(now[0])
+        assert "abort" not in transport.ends and "write_eof" not in transport.ends
+    one.resume_writing()
+    assert transport.ends.count("write_eof") == 1
+    one.get_buffer(-1)[:3] = b"..."
+    one.buffer_updated(3)  # it goes on sending: that is thrown away
+    assert not len(one.inbound)
+    now[0] += LINGER
+    deadlines.sweep(now[0])
+    assert transport.ends[-1] == "abort" and len(deadlines) == 0
+
+
+def test_a_slow_writer_loses_none_of_the_answers_it_is_owed(tmp_path: Path) -> None:
+    """Guards against a bound on half a message that ended the whole connection, with the requests open on it."""
+
+    async def scene(w: World) -> None:
+        held: list[str] = []
+        for box in w.boxes:
+            box.behave = lambda ask: held.append(ask["id"])
+        client = await Hand.connect(w)
+        late = ask(2)
+        await client.send(ask(1, "clip-parts"), late[:30])
+        await until(lambda: held)
+        await until(lambda: w.counted("sent", "clip-parts") == 1)
+        idle = await Hand.connect(w)
+        await idle.send(bulk(b"STATUS", b"1"), late[:30])
+        await idle.rest()  # who is owed nothing is ended: the bound has passed for the other, which began before
+        for box in w.boxes:
+            for writer in box.writers:
+                writer.write(f"{held[-1]} ok ver=a,born=1 4\r\nlate\r\n".encode())
+        assert b"late" in await client.until(b"late")
+        assert await client.rest() in (b"", b"\r\n")  # then it is
+
+    play(tmp_path, scene)
--- a/threadhill/admin/http.py
+++ b/threadhill/admin/http.py
@@ -104,7 +104,7 @@
             while not self._closing and not self.slow and self._next():
                 self.spoken()
         except Problem as problem:  # how far the faulty request reaches is not known: nothing after it is read
-            self._send(problem.status, problem.body, keep=False, linger=True)
+            self._send(problem.status, problem.body, keep=False)
 
     def backlog_changed(self) -> None:
         if self.transport is not None and not self.slow and len(self.inbound):
@@ -162,7 +162,7 @@
         if scheme.lower() != "bearer" or not hmac.compare_digest(token.strip().encode(), self._token.encode()):
             raise Problem(401, "unauthorized", "a valid bearer token is needed")
 
-    def _send(self, status: int, body: Any, keep: bool, allow: str = "", linger: bool = False) -> None:
+    def _send(self, status: int, body: Any, keep: bool, allow: str = "") -> None:
         text = isinstance(body, bytes)  # figures go as lines of text, the rest as JSON
         raw = b"" if status == 204 else body if text else orjson.dumps(body)
         lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(raw)}"]
@@ -175,7 +175,5 @@
         if not keep:
             lines.append("Connection: close")
         self.write("\r\n".join(lines).encode() + b"\r\n\r\n", raw)
-        if linger:
-            self.linger()
-        elif not keep:
+        if not keep:
             self.close()
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -1,7 +1,7 @@
 """Where peers come in: every front listens through a `Door`, which bounds what connections may cost.
 
-A connection that never says anything, or stops in the middle of a message, is ended in time. When the door is full,
-who never said anything makes room first, then who has been idle the longest; who is owed an answer never does.
+A connection that never says anything, or stops in the middle of a message, is ended in time. When the door is nearly
+full, who never said anything makes room first, then who has been idle the longest; who is owed an answer never does.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from threadhill.net.stream import Stream
+from threadhill.net.stream import LINGER, Stream
 from threadhill.net.turns import Host
 
 if TYPE_CHECKING:
@@ -22,7 +22,6 @@
 TURN = 16  # connections taken in a turn: what has come on others is read in between
 BACKLOG = 512  # connections that wait in the kernel
 SILENT = 2_200_000  # microseconds in which a first message, or one that has begun, must be whole
-LINGER = 1_000_000  # microseconds in which a peer may read why it is thrown out
 YOUNG = 100_000  # microseconds in which nobody new is turned out: its first message may be on the way
 LOOK = 250_000  # microseconds between looks for those that are silent
 FULL_AGAIN = 10_000  # microseconds until the door looks again for room
@@ -33,13 +32,13 @@
     """A connection that a peer has opened. Subclasses call `spoken` for each whole message."""
 
     idle = 0  # microseconds without a message after which one with nothing open is ended; 0: never
+    lingers = True
 
     def __init__(self, door: Door, most_in: int, most_out: int) -> None:
-        super().__init__(most_in, most_out)
+        super().__init__(door.engine, most_in, most_out)
         self.door = door
         self.since = self.last = door.engine.clock.now()
         self.messages = 0
-        self.out_at = 0  # when it is aborted, after it was thrown out
         self._began: tuple[int, int] | None = None  # when a message was seen under way, and which one
         self.group = ""  # whose quota of connections this one is counted on
         self.came = False  # it came up, so its end tells that it is gone
@@ -62,21 +61,19 @@
     def fault(self, trace: str) -> None:
         self.door.fault(trace)
 
-    def linger(self) -> None:
-        """End with an error that the peer can still read: closing over bytes not read yet would reset it away."""
-        self._closing = True
-        self.inbound.skip(len(self.inbound))
-        self.wanted = 1
-        if self.transport is not None:
-            self.transport.resume_reading()
-            if not len(self.outbound) and self.transport.can_write_eof():  # TLS has no half that could be closed
-                self.transport.write_eof()
-        self.out_at = self.door.engine.clock.now() + LINGER
+    def peer_done(self) -> None:
+        """Who ends its side has gone: it waits for nothing more, and what was said already still goes out."""
+        self.end()
+
+    def end(self) -> None:
+        """Close it with all that is open on it."""
+        self.close()
+        self.left()
 
     def overdue(self, now: int) -> bool:
-        """Whether it said nothing, or not all of a message, for too long."""
-        if self.out_at:
-            return now >= self.out_at
+        """Whether it said nothing, or not all of a message, for too long. Who is owed an answer first gets that."""
+        if self.ending:
+            return False
         if not self.messages:
             return now - self.since >= SILENT
         if self.idle and now - self.last >= self.idle and not self.owed():
@@ -85,7 +82,7 @@
             self._began = None
         elif self._began is None or self._began[1] != self.messages:
             self._began = now, self.messages
-        return self._began is not None and now - self._began[0] >= SILENT
+        return self._began is not None and now - self._began[0] >= SILENT and not self.owed()
 
     # --- for the subclasses
 
@@ -156,6 +153,11 @@
     def listening(self) -> bool:
         return self._socket is not None
 
+    @property
+    def empty(self) -> bool:
+        """Whether nobody is in, or coming in."""
+        return not self.guests and not self._coming
+
     def fault(self, trace: str) -> None:
         self.engine.stats.count("fault", self.name)
         self._log(f"{self.name}: {trace}")
@@ -183,7 +185,7 @@
         for _ in range(TURN):
             if self._socket is None:
                 return
-            if len(self.guests) + len(self._coming) >= self.most and not self._make_room():
+            if not self._room():
                 self.engine.stats.count(self.name, "full")
                 self._pause(FULL_AGAIN)
                 return
@@ -246,36 +248,50 @@
             if self._held[group] <= 0:
                 del self._held[group]
 
-    def _make_room(self) -> bool:
-        """End one connection that nothing is lost with: there must always be room for who really asks."""
+    def _room(self) -> bool:
+        """Whether one more may be taken. There must always be room for who really asks, and to close a connection in
+        order takes a while: as the last places fill, those that nothing is lost with are closed ahead of need."""
+        count = len(self.guests) + len(self._coming)
+        spare = min(TURN, self.most // 8)
+        if count < self.most - spare:
+            return True
+        ending = [guest for guest in self.guests if guest.ending]
+        if count - len(ending) >= self.most - spare:
+            self._turn_out()
+        if count < self.most:
+            return True
+        # Full all the same: who has been on its way out the longest, and has taken all it was owed, goes at once.
+        gone = min((guest for guest in ending if not guest.backlog()), key=lambda guest: guest.ending, default=None)
+        if gone is None:
+            return False
+        del self.guests[gone]  # its descriptor is closed in the next turn
+        gone.abort()
+        return True
+
+    def _turn_out(self) -> None:
+        """Close one connection that nothing is lost with, if there is any."""
         now = self.engine.clock.now()
 
         def rank(guest: Guest) -> tuple[int, int] | None:
-            if guest.out_at:
-                return 0, guest.out_at
+            if guest.ending:
+                return None
             if not guest.messages:
-                return (1, guest.since) if now - guest.since >= YOUNG else None
-            return (2, guest.last) if not guest.owed() else None
+                return (0, guest.since) if now - guest.since >= YOUNG else None
+            return (1, guest.last) if not guest.owed() else None
 
         ranked = [(place, i, guest) for i, guest in enumerate(self.guests) if (place := rank(guest)) is not None]
-        if not ranked:
-            return False
-        (kind, _), _, guest = min(ranked)
+        ((spoke, _), _, guest) = min(ranked, default=((0, 0), 0, None))
+        if guest is None or guest.unread():  # what it sent comes first
+            return
         # Those that say nothing must not push out those that asked: where there are many, they are waited for.
-        if kind == 2 and sum(not guest.messages for guest in self.guests) > min(2 * TURN, self.most // 4):
-            return False
+        if spoke and sum(not guest.messages for guest in self.guests) > min(2 * TURN, self.most // 4):
+            return
         self.engine.stats.count(self.name, "turned out")
-        del self.guests[guest]  # its descriptor is closed in the next turn
-        if kind == 2:
-            guest.close()
-        else:
-            guest.abort()
-        return True
+        guest.close()
 
     def _look(self) -> None:
         now = self.engine.clock.now()
-        for guest in [guest for guest in self.guests if guest.overdue(now)]:
-            if not guest.out_at:
-                self.engine.stats.count(self.name, "silent")
-            guest.abort()
+        for guest in [guest for guest in self.guests if guest.overdue(now) and not guest.unread()]:
+            self.engine.stats.count(self.name, "silent")
+            guest.close()
         self.engine.deadlines.add(now + LOOK, self._look)
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -356,7 +356,7 @@
     """One connection to the journal service."""
 
     def __init__(self, journal: Journal) -> None:
-        super().__init__(journal.line, 64 << 10)
+        super().__init__(journal.engine, journal.line, 64 << 10)
         self.journal = journal
         self.since = 0
 
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -100,7 +100,7 @@
     """One connection to a cache server, parent or the origin."""
 
     def __init__(self, pool: Pool) -> None:
-        super().__init__(BODY + HEAD, OUTBOUND)
+        super().__init__(pool.caches.engine, BODY + HEAD, OUTBOUND)
         self.pool = pool
         self.open: dict[str, int] = {}  # id -> attempt
         self.used: set[str] = set()  # ids given up here: their late answers must not pass for a new attempt's
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -27,6 +27,7 @@
 QUIET_LOOK = 50_000  # microseconds between looks for connections to close while this proxy drains
 QUIET_NEW = 300_000  # microseconds that a connection that said nothing yet has for its first request then
 QUIET_REFUSE = 1_500_000  # microseconds of a drain after which what comes on a connection that stays is sent away
+HELD = 16 << 10  # bytes of a connection that are read while nothing is taken off it
 HEX = re.compile(r"[0-9a-f]{16}")
 WHOLE = re.compile(r"[0-9]{1,10}")
 SIZE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -100,9 +101,10 @@
     return int(digits), end + 2
 
 
-def read_message(data: bytes) -> tuple[list[bytes] | None, int]:
-    """The words of the first message and its length; None and how much is needed while it is not whole."""
-    line = _length(data, 0, 42)
+def read_message(data: bytes, begin: int = 0) -> tuple[list[bytes] | None, int]:
+    """The words of the message that begins there, and where it ends; None and how much is needed while it is not
+    whole."""
+    line = _length(data, begin, 42)
     if line is None:
         return None, 1
     count, at = line
@@ -168,10 +170,15 @@
         if not self.quiet or turn != self._quiet_turn:
             return
         now = self.engine.clock.now()
+        self.let_go(now)
+        self.engine.deadlines.add(now + QUIET_LOOK, lambda: self._quiet_look(turn))
+
+    def let_go(self, now: int, all_of_them: bool = False) -> None:
+        """Close each connection on which nothing is owed and nothing under way, where a drain is spread in its turn;
+        or all there are, whatever still comes on them."""
         for guest in list(self.door.guests):
-            if isinstance(guest, Client) and guest.may_close(now) and now - self.quiet >= guest.turn_to_go:
+            if all_of_them or guest.may_close(now) and (not self.quiet or now - self.quiet >= guest.turn_to_go):
                 guest.close()
-        self.engine.deadlines.add(now + QUIET_LOOK, lambda: self._quiet_look(turn))
 
     def backlog(self) -> int:
         return sum(client.backlog() for client in self.door.guests)
@@ -191,7 +198,10 @@
         self.turn_to_go = front._clients * 7_919 % 1_000 * front.spread // 1_000
         self.open: dict[int, tuple[int, str]] = {}  # tag -> the core's handle, -1 until it is known, and the id
         self._reading = True
-        self._held = False  # parsing goes on in another turn
+        self._held = False  # messages are taken again in another turn
+        self._held_since = 0  # when the first of those that wait may have come; 0: none waits
+        self._looked = 0  # bytes of those that were looked at ahead
+        self._withdrawn: set[int] = set()  # tags of requests among them that the client took back since
         self._faulty = 0  # turns on end with messages that could not be used
 
     def left(self) -> None:
@@ -202,12 +212,14 @@
         return bool(self.open) or self.backlog() > 0
 
     def midway(self) -> bool:
-        return self._reading and not self._held and len(self.inbound) > 0
+        return not self._held and not self._stuck() and len(self.inbound) > 0
 
     def may_close(self, now: int) -> bool:
-        """Whether it may be closed while the proxy drains: nothing owed or under way, and not one so new that its
-        first request may be on the way."""
-        return not self.owed() and not len(self.inbound) and (self.messages > 0 or now - self.since >= QUIET_NEW)
+        """Whether it may be closed while the proxy drains: nothing owed, under way or unread, and not one so new that
+        its first request may be on the way."""
+        if self.owed() or len(self.inbound) or not self.messages and now - self.since < QUIET_NEW:
+            return False
+        return not self.unread()
 
     def _forget(self, tag: int) -> None:
         """The client waits no more for this one, if it did."""
@@ -218,10 +230,14 @@
 
     def parse(self) -> None:
         """A turn's share of the messages that have come. The rest waits, so that no flood on one connection holds up
-        the others, and longer each time where some could not be used: who sends such at full speed is slowed down."""
+        the others, and longer each time where some could not be used: who sends such at full speed is slowed down.
+        Reading goes on meanwhile, as far as there is room: a client may take back what waits, or leave."""
+        if self._held:
+            self._throttle()
+            return
         faults = taken = 0
         try:
-            while taken < TURN and len(self.inbound) and self._reading and not self._closing:
+            while taken < TURN and len(self.inbound) and not self._stuck() and not self._closing:
                 # Most messages are short: the ring is looked at as far as one such reaches, then whole.
                 message, size = read_message(self.inbound.peek(MESSAGE))
                 if message is None and len(self.inbound) > MESSAGE:
@@ -230,6 +246,7 @@
                     self.wanted = size
                     break
                 self.inbound.skip(size)
+                self._looked = max(0, self._looked - size)
                 self.wanted = 1
                 taken += 1
                 self.spoken()
@@ -238,17 +255,23 @@
         except Malformed as error:
             self.front.engine.stats.count("malformed", "client")
             self.write(b"-ERR " + str(error).encode() + b"\r\n")
-            self.linger()
-            for tag in list(self.open):  # nothing of a connection that is thrown out need go on
-                self._forget(tag)
+            self.end()  # nothing of a connection that is thrown out need go on
             return
         self._faulty = self._faulty + 1 if faults else 0
         if (faults or taken == TURN) and not self._closing:
             self._hold(FAULT_PAUSE << min(self._faulty - 1, FAULT_DOUBLED) if faults else 0)
+        elif not self._stuck():
+            self._held_since = 0
+
+    def _stuck(self) -> bool:
+        """Whether the client does not read what it is sent, so that nothing more is taken from it."""
+        return self._paused and self.backlog() >= BACKLOG
 
     def _hold(self, wait: int) -> None:
         """Take nothing more for so long; 0: until the other connections had their turn."""
         self._held = True
+        if not self._held_since or not len(self.inbound):  # what comes from now on has come now at the earliest
+            self._held_since = self.front.engine.clock.now()
         self._throttle()
         if wait:
             self.front.engine.deadlines.add(self.front.engine.clock.now() + wait, self._resume)
@@ -256,11 +279,30 @@
             self.front.soon(self._resume)
 
     def _resume(self) -> None:
-        """Go on with what came before the pause; not from within an answer."""
+        """Go on with what waits; not from within an answer. Nothing is begun for a client that has left meanwhile, nor
+        for a request that it took back: both stand behind what waits."""
         self._held = False
+        if self._closing or self.transport is None:
+            return
+        if len(self.inbound) and self.hung_up():
+            self.end()
+            return
+        self._look_ahead()
         self._throttle()
-        if self._reading and not self._closing and self.transport is not None:
-            self.turn()
+        self.turn()
+
+    def _look_ahead(self) -> None:
+        data = self.inbound.peek(len(self.inbound))
+        try:
+            while self._looked < len(data):
+                words, end = read_message(data, self._looked)
+                if words is None:
+                    return
+                self._looked = end
+                if len(words) > 1 and words[0].upper() == b"NEVERMIND" and words[1].isdigit():
+                    self._withdrawn.add(int(words[1][:18]))
+        except Malformed:
+            return  # it is answered when its turn comes
 
     def _take(self, words: list[bytes]) -> bool:
         """One whole message; whether it could be used."""
@@ -271,6 +313,7 @@
         if verb == b"ASK":
             return self._ask(tag, words)
         if verb == b"NEVERMIND":
+            self._withdrawn.discard(tag)
             self._forget(tag)
         elif verb == b"STATUS":
             self.write(bulk(b"%d" % tag, b"serving" if self.front.ready else b"not_serving", b"", b""))
@@ -281,6 +324,9 @@
     def _ask(self, tag: int, words: list[bytes]) -> bool:
         if tag in self.open:
             raise Malformed("the tag is in use")
+        if tag in self._withdrawn:
+            self.front.engine.stats.count("client_gone", "before it was taken")
+            return True
         cls = None
         try:
             if len(words) < 4:
@@ -304,7 +350,10 @@
             self.front.engine.stats.count("front_failed", ask.cls)
             self._say(tag, Answer(Final.FAILED))
             return False
-        if len(self.open) >= OPEN or self.front.refusing or self.front.sends_away(self.front.engine.clock.now()):
+        now = self.front.engine.clock.now()
+        if self._held_since:  # its time has run since it came
+            ask.left -= now - self._held_since
+        if len(self.open) >= OPEN or self.front.refusing or self.front.sends_away(now) or ask.left <= 0:
             self.front.engine.stats.count("front_refused", ask.cls)
             self._say(tag, Answer(Final.REFUSED, come_back=self.front.come_back))
             return len(self.open) < OPEN  # only a client past its own bound is at fault
@@ -357,12 +406,14 @@
     def backlog_changed(self) -> None:
         was = self._reading
         self._throttle()
-        if self._reading and not was:
+        if self._reading and not was and not self._held:
             self._hold(0)
 
     def _throttle(self) -> None:
-        """Read on only while the client reads what it is sent, and not during a pause."""
-        reading = not self._held and (not self._paused or self.backlog() < BACKLOG)
+        """Read on only while the client reads what it is sent, and during a pause only so much."""
+        reading = not self._stuck() and not (self._held and len(self.inbound) >= HELD)
+        if not reading:
+            self._held_since = self._held_since or self.front.engine.clock.now()
         if reading == self._reading or self.transport is None or self._closing:
             return
         self._reading = reading
--- a/threadhill/net/stream.py
+++ b/threadhill/net/stream.py
@@ -1,26 +1,42 @@
-"""What every connection shares: a ring a direction, bounded writing, one way to end."""
+"""What every connection shares: a ring a direction, bounded writing, and two ends, one in order and one at once."""
 
 from __future__ import annotations
 
 import asyncio
+import select
 import traceback
 
 from threadhill.net.ring import Full, Ring
+from threadhill.net.turns import Host
 
 CHUNK = 64 << 10  # bytes that the transport may hold for the kernel; the rest waits in the ring
 DISCARD = 64 << 10  # bytes taken from a peer that was thrown out; one with more to say may fill the kernel's buffers
+LINGER = 1_000_000  # microseconds that a peer may take to end its side of a connection that is being closed
 
 
 class Stream(asyncio.BufferedProtocol):
-    """A connection. Subclasses parse `inbound` in `parse` and are told of the end in `ended`."""
+    """A connection. Subclasses parse `inbound` in `parse` and are told of the end in `ended`.
 
-    def __init__(self, most_in: int, most_out: int) -> None:
+    What a peer sends after the end has begun is read and thrown away: nothing of it is taken any more.
+    """
+
+    lingers = False  # whether a peer may still be reading what it was sent when this side ends
+
+    def __init__(self, host: Host, most_in: int, most_out: int) -> None:
+        self.host = host
         self.inbound, self.outbound = Ring(most_in), Ring(most_out)
         self.transport: asyncio.Transport | None = None
         self.wanted = 1  # bytes that the message under way needs in all, so that the ring grows once
+        self.ending = 0  # when this side began to end it; 0: it has not
         self._paused = False  # the transport takes no more
-        self._closing = False
+        self._peer_done = False  # the peer has ended its side
         self._discarded = 0
+        self._left = 0  # bytes that the peer had still to take at the last look of a close
+        self._bound: tuple[int, int] | None = None  # the deadline of a close
+
+    @property
+    def _closing(self) -> bool:
+        return self.ending > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -29,6 +45,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
+        self.host.deadlines.drop(self._bound)
         self.ended()
 
     def get_buffer(self, hint: int) -> memoryview:
@@ -44,6 +61,13 @@
             if self._discarded > DISCARD and self.transport is not None:
                 self.transport.pause_reading()
 
+    def eof_received(self) -> bool:
+        """The peer has ended its side; whether the connection stays up for what is still to be written."""
+        self._peer_done = True
+        if not self._closing:
+            self.peer_done()
+        return self.transport is not None and self.transport.can_write_eof() and len(self.outbound) > 0
+
     def turn(self) -> None:
         """Parse what there is. A fault in that ends this connection, which settles what is open on it, and no
         other: whatever a peer can send must not do more."""
@@ -74,8 +98,8 @@
         self._paused = False
         while len(self.outbound) and not self._paused and self.transport is not None:
             self.transport.write(self.outbound.take(CHUNK))
-        if self._closing and not len(self.outbound) and self.transport is not None:
-            self.transport.close()
+        if self._closing:
+            self._shut()
         self.backlog_changed()
 
     @property
@@ -87,13 +111,61 @@
         return self.transport.get_write_buffer_size() + len(self.outbound) if self.transport is not None else 0
 
     def close(self) -> None:
-        """Close once all that was written is sent."""
-        self._closing = True
-        if self.transport is not None and not len(self.outbound):
+        """End it in order: what was written goes out, then this direction is shut, and what the peer sends meanwhile
+        is read and thrown away until it ends its side too. To close over bytes that were not read would reset the
+        connection, and take along what the peer has not read yet. A peer that goes on, or takes nothing of what it
+        is owed, has LINGER for it."""
+        if self._closing:
+            return
+        self.ending = self.host.clock.now()
+        self.inbound.skip(len(self.inbound))
+        self.wanted = 1
+        if self.transport is not None:
+            self.transport.resume_reading()
+            self._shut()
+            self._wait()
+
+    def _shut(self) -> None:
+        """Shut this direction, once all that was written is with the transport."""
+        if self.transport is None or len(self.outbound):
+            return
+        if not self.lingers or self._peer_done or not self.transport.can_write_eof():  # TLS has no half to be shut
             self.transport.close()
+            return
+        try:
+            self.transport.write_eof()
+        except OSError:  # the peer has reset it already
+            self.transport.abort()
+
+    def _wait(self) -> None:
+        self._left = self.backlog()
+        self._bound = self.host.deadlines.add(self.host.clock.now() + LINGER, self._waited)
+
+    def _waited(self) -> None:
+        if 0 < self.backlog() < self._left:
+            self._wait()
+        elif self.transport is not None:
+            self.transport.abort()
+
+    def hung_up(self) -> bool:
+        """Whether the peer has ended its side, or all of the connection, behind bytes that were not read yet."""
+        return self._peer_done or self._shows(select.POLLRDHUP)
+
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet: a loop that was held up ends what is overdue before it
+        reads, and would end it over what came in time."""
+        return not self._peer_done and self._shows(select.POLLIN)
+
+    def _shows(self, event: int) -> bool:
+        if self.transport is None or self.transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), event)
+        return bool(look.poll(0))
 
     def abort(self) -> None:
-        self._closing = True
+        """End it at once, with whatever was not sent yet."""
+        self.ending = self.ending or self.host.clock.now()
         if self.transport is not None:
             self.transport.abort()
 
@@ -108,6 +180,10 @@
     def ended(self) -> None:
         """The connection is gone."""
 
+    def peer_done(self) -> None:
+        """The peer has ended its side: nothing more comes, and it may be gone altogether."""
+        self.abort()
+
     def parse(self) -> None:
         """Take whole messages off `inbound`."""
         raise NotImplementedError
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -43,9 +43,8 @@
 CORDONS_KEEP = 60_000_000  # microseconds for which one put back is told as cold to a process that starts later
 KEYS_LOOK = 500_000  # microseconds between looks whether a zone's keys changed
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
-LONGEST = 3_000_000  # microseconds of the longest deadline, where the classes' are shorter
 KILL_LONGEST = 3_000_000  # microseconds of the longest deadline as SIGKILL counts it where the classes' are longer
-BEFORE_KILL = 50_000  # microseconds before the longest deadline has passed as well: SIGKILL may come then
+BEFORE_KILL = 100_000  # microseconds before SIGKILL may come at which what is open is failed, to be read in time
 
 log = Log(time.monotonic)
 
@@ -68,6 +67,7 @@
         self.node_guards: dict[str, Control] = {}  # of DNS views' nodes
         self.recovery: Recovery | None = None
         self._leaving = 0  # when SIGTERM came
+        self._given_up = False  # what was still open was failed, as SIGKILL is near
 
     def _limits(self, config: Config) -> Limits:
         """What the caches' side may use: the operator's fronts take their descriptors from it."""
@@ -110,7 +110,7 @@
                 await self._serve_dns(self.operator.dns)
             if self.operator.admin is not None:
                 await self._serve_admin(self.operator.admin)
-        self.front.ready = True
+        self.front.ready = not self._leaving
         log.say(f"{self.config.name}: serving on {host}:{port}")
         await self.done.wait()
         self.front.door.shut()
@@ -353,32 +353,30 @@
             self._look()
 
     def _look(self) -> None:
-        """Whether all is answered. Nothing new is taken after a while: a flood must not hold up the end, and
-        neither must a client that does not read what it is owed."""
+        """Whether all is answered, and every client has read it. Nothing new is taken after a while: a flood must not
+        hold up the end. Then each connection on which nothing is owed is closed in order: the process must not end
+        over requests that were not read, as that resets what was answered too. What is still open shortly before
+        SIGKILL may come is failed; a client that reads nothing is left at that."""
         now = self.clock.now()
-        over = now - self._leaving - SERVE_ON
-        longest = max([LONGEST, *(cls.deadline for cls in self.config.settings.classes.values())])
-        owed = self.front.open() or self.front.backlog()
-        if self.config.listen_fd is not None:
-            # The door is shut already and the drain sends clients away; a connection that stayed open at the end
-            # would be reset under its next request, so the end waits for all to be closed. Requests keep coming on
-            # open connections after the first 0.7 s here, and what SIGKILL finds of those is lost: what is still
-            # open is failed before it, and SIGKILL counts a longest deadline as 3 s at most.
-            owed, over = owed or len(self.front.door.guests), max(over, 0)
-            longest = min(longest, KILL_LONGEST)
-        elif 0 <= over < self.front.spread - SERVE_ON:
-            owed = owed or len(self.front.door.guests)
-        elif over >= 0 and not self.front.refusing:
-            self.front.refusing = True
-            self.front.door.shut()
-        if over >= longest - BEFORE_KILL:
+        since, door = now - self._leaving, self.front.door
+        longest = max((cls.deadline for cls in self.config.settings.classes.values()), default=KILL_LONGEST)
+        # An upgrade shut the door and drains already; else whoever comes is taken at first, and let go of slowly.
+        serve_on = 0 if self.config.listen_fd is not None else max(SERVE_ON, self.front.spread)
+        kill = SERVE_ON + min(longest, KILL_LONGEST)
+        after = f"{since / 1e6:.2f} s after SIGTERM"
+        if since >= kill - BEFORE_KILL and not self._given_up:
+            self._given_up = True
             log.say(f"leaving: {len(self.engine.requests)} requests still open are failed, "
-                    f"{len(self.front.door.guests)} client connections still open, "
-                    f"{(now - self._leaving) / 1e6:.2f} s after SIGTERM")
+                    f"{len(door.guests)} client connections still open, {after}")
             self.engine.end_all()
-            self.done.set()
-        elif over >= 0 and not owed:
-            log.say(f"leaving: all answered {(now - self._leaving) / 1e6:.2f} s after SIGTERM")
+            self.front.let_go(now, all_of_them=True)
+        elif since >= serve_on:
+            if not self.front.refusing and self.config.listen_fd is None:
+                self.front.refusing = True
+                door.shut()
+            self.front.let_go(now)
+        if since >= kill - BEFORE_KILL // 2 or since >= serve_on and door.empty:
+            log.say(f"leaving: {'given up' if self._given_up else 'all answered'} {after}")
             self.done.set()
         else:
             self.deadlines.add(now + LOOK_AGAIN, self._look)
