Settle attempts of a lost connection by what had left the process, and refuse a false current

Cause: an attempt whose bytes still waited in this process counted as possibly run, so that a class that may not run twice was failed for nothing; an answer that trickles, or answers nobody asked for, kept a connection for ever; an answer 'current' passed although the server had not named the client's copy. Change: lines.py Wire.whole, stalled, cut_short; Stream.write says when nothing was taken.

--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -93,12 +93,15 @@
     order: Order
     wire: Wire | None = None
     at: int = 0
+    upto: int = 0  # bytes of the connection with which it ends
     due: tuple[int, int] | None = None  # the deadline of one that waits: then it must not begin any more
 
 
 class Wire(Stream):
     """One connection to a cache server, parent or the origin."""
 
+    buffered = 0  # whether the transport is full tells what has left this process
+
     def __init__(self, pool: Pool) -> None:
         super().__init__(pool.caches.engine, BODY + HEAD, OUTBOUND)
         self.pool = pool
@@ -109,7 +112,9 @@
         self.unheard = 0  # attempts that ran out of time one after another, with nothing come since they were sent
         self.doubted = 0  # when the last of them did
         self.heard = self.idle_since = pool.caches.engine.clock.now()
-        self._head: tuple[str, str, dict[str, str]] | None = None
+        self.head: tuple[str, str, dict[str, str]] | None = None  # the line of the answer that is coming
+        self._line_since = 0  # when the line that is coming began; 0: none is
+        self._unasked = 0  # answers on end that nobody asked for
         self.counted = False  # it came up, so its end frees its place
 
     def opened(self) -> None:
@@ -126,7 +131,7 @@
     def usable(self) -> bool:
         if self.suspect or self._closing or self.transport is None or self.transport.is_closing():
             return False
-        return not len(self.inbound) and self._head is None or not self.stalled()
+        return not self.stalled()
 
     def carries(self, id: str) -> bool:
         """Whether an answer under this id may come here that is not a new attempt's."""
@@ -138,13 +143,26 @@
         return self.pool.caches.engine.clock.now() - self.heard < max(self.pool.caches.fresh_for, new * NEW)
 
     def stalled(self) -> bool:
-        """Whether an answer stopped in the middle: one whose length is wrong swallows those that follow."""
-        began = self._head is not None or len(self.inbound) > 0
-        return began and self.pool.caches.engine.clock.now() - self.heard > STALL
+        """Whether an answer stopped in the middle: one whose length is wrong swallows those that follow. Its line is
+        short, and must be there soon however it comes."""
+        since = self._line_since or (self.heard if self.head is not None else 0)
+        return since > 0 and self.pool.caches.engine.clock.now() - since > STALL
+
+    def whole(self, upto: int) -> bool:
+        """Whether the first so many bytes written may all have left this process. Of a connection that is gone, the
+        transport was full if any of what it was given last had not."""
+        if self.transport is not None:
+            return self.written - self.backlog() >= upto
+        return not self._paused or self.written - len(self.outbound) > upto
+
+    def cut_short(self, head: object) -> None:
+        """An answer whose attempt was given up still comes: others wait behind it, and it may never end."""
+        if self.head is head and self.transport is not None:
+            self._broken("an answer went on after it was given up")
 
     def answering(self, id: str) -> bool:
         """Whether the answer under this id has begun to come."""
-        return self._head is not None and self._head[0] == id
+        return self.head is not None and self.head[0] == id
 
     def doubt(self, sent: int) -> None:
         """An attempt sent then was given up, and nothing came since. The machine may have vanished, which no reset
@@ -157,26 +175,29 @@
     def parse(self) -> None:
         self.heard, self.suspect, self.unheard = self.pool.caches.engine.clock.now(), False, 0
         while not self._closing:
-            if self._head is None:
+            if self.head is None:
                 line = self.inbound.peek(HEAD)
                 end = line.find(b"\r\n")
                 if end < 0:
                     if len(line) >= HEAD:
                         self._broken("a line is too long")
+                    elif line:
+                        self._line_since = self._line_since or self.heard
                     return
+                self._line_since = 0
                 answer = read_answer(line[:end])
                 if answer is None:
                     self._broken("not an answer")
                     return
                 self.inbound.skip(end + 2)
-                self._head, self.wanted = answer[:3], answer[3] + 2
+                self.head, self.wanted = answer[:3], answer[3] + 2
             if len(self.inbound) < self.wanted:
                 return
             body = self.inbound.take(self.wanted)
             if body[-2:] != b"\r\n":
                 self._broken("a body does not end where it should")
                 return
-            (id, word, fields), self._head, self.wanted = self._head, None, 1
+            (id, word, fields), self.head, self.wanted = self.head, None, 1
             self._answer(id, word, fields, body[:-2])
 
     def _broken(self, why: str) -> None:
@@ -185,10 +206,18 @@
         self.abort()
 
     def _answer(self, id: str, word: str, fields: dict[str, str], body: bytes) -> None:
-        attempt = self.open.pop(id, None)
+        attempt = self.open.get(id)
         if attempt is None:  # given up meanwhile, a second copy, or nothing that was asked for here
             self.pool.caches.engine.stats.count("unasked", word)
+            self._unasked += 1
+            if self._unasked > DONE:
+                self._broken("it answers what was not asked")
+            return
+        if word == "current" and self.pool.caches.sendings[attempt].order.ask.seen != fields.get("ver", ""):
+            self._broken("it calls current what was not named to it")  # the client would take its copy for good
             return
+        del self.open[id]
+        self._unasked = 0
         remember(self.done, id, None, DONE)
         ended = Ended(ENDS[word], body, fields.get("ver", ""), word == "current",
                       read_report(fields.get("report", "")), NOTES.get(fields.get("remark", ""), api.Note.NONE),
@@ -286,7 +315,7 @@
         if not wire.write(self.caches.head(sending.order), body, b"\r\n"):
             wire.suspect = True
             return False
-        sending.wire, sending.at = wire, self.caches.engine.clock.now()
+        sending.wire, sending.at, sending.upto = wire, self.caches.engine.clock.now(), wire.written
         self.caches.engine.deadlines.drop(sending.due)
         wire.open[sending.order.ask.rid] = attempt
         self.caches.engine.stats.count("relayed", sending.order.ask.cls)
@@ -316,8 +345,10 @@
         attempts, wire.open = list(wire.open.values()), {}
         if len(attempts) == 1 and attempts[0] in self.caches.sendings:
             self.caches.cut(self.caches.sendings[attempts[0]].at, wire.heard)
-        for attempt in attempts:
-            self.caches.ended(attempt, Ended(api.Outcome.BROKEN))
+        for attempt in attempts:  # what the server cannot have whole did not run
+            sending = self.caches.sendings.get(attempt)
+            ran = sending is None or wire.whole(sending.upto)
+            self.caches.ended(attempt, Ended(api.Outcome.BROKEN if ran else api.Outcome.UNREACHED))
         self._drain()
 
     def dialled(self, up: bool) -> None:
@@ -421,20 +452,24 @@
         if sending is None or sending.wire is None:
             return False
         wire, id = sending.wire, sending.order.ask.rid
+        ran = wire.whole(sending.upto)
         if wire.open.pop(id, None) is None or wire.transport is None:
-            return True
+            return ran
         if wire.heard < sending.at:
             wire.doubt(sending.at)
         if wire.suspect:  # what else is out here may wait; an idle connection knows no better
             wire.pool.close_idle(self.engine.clock.now() + 1)
         if wire.stalled() or wire.suspect and not wire.open:
             wire.abort()  # a stalled one is of no use to the others on it either: they may be asked again elsewhere
-            return True
+            return ran
         wire.used.add(id)
-        if not wire.answering(id):
+        if wire.answering(id):
+            head, now = wire.head, self.engine.clock.now()
+            self.engine.deadlines.add(now + STALL, lambda: wire.cut_short(head))
+        else:
             wire.write(b"undo %s\r\n" % id.encode())
         wire.pool.done(wire)
-        return True
+        return ran
 
     def listed(self, entries: list[api.Entry]) -> None:
         self._families = None
@@ -468,9 +503,9 @@
         old = self.servers.get(number)
         if old is not None and (old.host, old.port) == (host, port) and old.ready:
             return
+        self.servers[number] = Pool(self, name, host, port)  # first: what waited may be decided on for it again
         if old is not None:
             old.retire()
-        self.servers[number] = Pool(self, name, host, port)
 
     def where(self, number: int) -> tuple[str, str, int] | None:
         """The name and address of a server that is ready now."""
--- a/threadhill/net/stream.py
+++ b/threadhill/net/stream.py
@@ -9,7 +9,7 @@
 from threadhill.net.ring import Full, Ring
 from threadhill.net.turns import Host
 
-CHUNK = 64 << 10  # bytes that the transport may hold for the kernel; the rest waits in the ring
+CHUNK = 64 << 10  # bytes given to the transport at once, for the kernel; the rest waits in the ring
 DISCARD = 64 << 10  # bytes taken from a peer that was thrown out; one with more to say may fill the kernel's buffers
 LINGER = 1_000_000  # microseconds that a peer may take to end its side of a connection that is being closed
 
@@ -21,6 +21,7 @@
     """
 
     lingers = False  # whether a peer may still be reading what it was sent when this side ends
+    buffered = CHUNK  # bytes that the transport may hold before it counts as full
 
     def __init__(self, host: Host, most_in: int, most_out: int) -> None:
         self.host = host
@@ -31,6 +32,7 @@
         self._paused = False  # the transport takes no more
         self._peer_done = False  # the peer has ended its side
         self._discarded = 0
+        self.written = 0  # bytes that were taken to be sent, in all
         self._left = 0  # bytes that the peer had still to take at the last look of a close
         self._bound: tuple[int, int] | None = None  # the deadline of a close
 
@@ -40,7 +42,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
-        transport.set_write_buffer_limits(high=CHUNK)
+        transport.set_write_buffer_limits(high=self.buffered)
         self.opened()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -78,16 +80,21 @@
             self.abort()
 
     def write(self, *parts: bytes) -> bool:
-        """Send the parts, or keep them in the ring while the peer is slow; False where they do not fit."""
+        """Send the parts, or keep them in the ring while the peer is slow; False where nothing of them was taken: they
+        do not fit, or the connection was reset."""
         if self.transport is None or self._closing:
             return False
-        if not self._paused and not len(self.outbound):
-            self.transport.write(parts[0] if len(parts) == 1 else b"".join(parts))
-            return True
-        try:
-            self.outbound.write(b"".join(parts))
-        except Full:
-            return False
+        data = parts[0] if len(parts) == 1 else b"".join(parts)
+        if self._paused or len(self.outbound):
+            try:
+                self.outbound.write(data)
+            except Full:
+                return False
+        else:
+            self.transport.write(data)
+            if self.transport.is_closing():
+                return False
+        self.written += len(data)
         return True
 
     def pause_writing(self) -> None:
