Force purges under a stepped wall clock with real processes: the tests fail, as reported

Reproduction: tests/faults starts the real program with the wall clock and the system calls in the test's hand. With the clock of one proxy 0.6 s, 5 s or an hour ahead (before the start, between kill and restart, while it runs) a client is served a copy older than the purge: 11 cases fail, all with the clock ahead; with it behind or true, none. One more test fails: a server that gives a purged copy all the same is passed on, as the age of an answer's copy is not looked at.

--- /dev/null
+++ b/tests/faults/program.py
@@ -0,0 +1,99 @@
+"""`python -m tests.faults.program TABLE serve ...`: the real program, with the faults of a table of switches.
+
+The faults are put in place before anything of the program is imported: the wall clock, and the socket and file calls
+through which the program meets the system.
+"""
+
+from __future__ import annotations
+
+import os
+import runpy
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from tests.faults.switches import WALL_READ, WALL_STEP, Switches
+
+
+def step_clock(switches: Switches) -> None:
+    """Let every reading of the wall clock be off by the step of the moment."""
+    table, real = switches.table, time.time_ns
+
+    def time_ns() -> int:
+        table[WALL_READ] += 1
+        return real() + table[WALL_STEP]
+
+    time.time_ns = time_ns
+    time.time = lambda: time_ns() / 1e9
+
+
+def fail_sockets(switches: Switches) -> None:
+    """Let socket calls fail, or move fewer bytes than they were asked to."""
+
+    def check(call: str) -> None:
+        error = switches.strike(call)
+        if error:
+            raise OSError(error, os.strerror(error))
+
+    class FaultySocket(socket.socket):
+        def __init__(self, *args: Any, **named: Any) -> None:
+            if named.get("fileno") is None and len(args) < 4:
+                check("socket")
+            super().__init__(*args, **named)
+
+        def accept(self) -> Any:
+            check("accept")
+            return super().accept()
+
+        def connect(self, address: Any) -> None:
+            check("connect")
+            super().connect(address)
+
+        def send(self, data: Any, *flags: int) -> int:
+            check("send")
+            return super().send(memoryview(data)[: switches.most("send", len(data))], *flags)
+
+        def recv_into(self, buffer: Any, *more: int) -> int:
+            check("recv")
+            return super().recv_into(memoryview(buffer)[: switches.most("recv", len(buffer))], *more)
+
+    socket.socket = FaultySocket
+
+
+def fail_files(switches: Switches) -> None:
+    """Let writes and syncs of files fail, and tear a write after some bytes."""
+    real_write, real_sync = os.write, os.fsync
+    real_bytes = Path.write_bytes
+
+    def write(descriptor: int, data: Any) -> int:
+        error = switches.strike("write_file")
+        if error:
+            raise OSError(error, os.strerror(error))
+        return real_write(descriptor, memoryview(data)[: switches.most("write_file", len(data))])
+
+    def write_bytes(path: Path, data: Any) -> int:
+        error = switches.strike("write_file")
+        if error:
+            real_bytes(path, memoryview(data)[: len(data) // 2])  # torn: what a full disk leaves
+            raise OSError(error, os.strerror(error))
+        return real_bytes(path, data)
+
+    def sync(descriptor: int) -> None:
+        error = switches.strike("sync_file")
+        if error:
+            raise OSError(error, os.strerror(error))
+        real_sync(descriptor)
+
+    os.write, os.fsync = write, sync
+    Path.write_bytes = write_bytes
+
+
+if __name__ == "__main__":
+    table = Switches(Path(sys.argv[1]))
+    step_clock(table)
+    fail_sockets(table)
+    fail_files(table)
+    sys.argv = ["threadhill", *sys.argv[2:]]
+    runpy.run_module("threadhill", run_name="__main__")
--- /dev/null
+++ b/tests/faults/test_purges.py
@@ -0,0 +1,106 @@
+"""The rule on purges, whatever the wall clock of one proxy says: nothing older than a purge that was told."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from tests.faults.world import PURGE_SLACK_MS, FaultWorld, hold, play, unix_ms
+from tests.world import OBJECT, until
+
+STEPS = [-3600.0, -5.0, -0.6, 0.0, 0.6, 5.0, 3600.0]  # seconds by which the wall clock is off
+
+
+async def purge(w: FaultWorld, age_ms: int = 0, **what: object) -> int:
+    """Purge the object; the stamp, once the proxy has applied it."""
+    stamp = unix_ms() - age_ms
+    w.journal.add({"expire": (what or {"name": OBJECT}) | {"stamp": stamp}})
+    await w.told()
+    return stamp
+
+
+async def nothing_old_is_served(w: FaultWorld, stamp: int) -> None:
+    """Once the purge binds, no copy from before it is served, and the object is still served."""
+    await until(lambda: unix_ms() > stamp + PURGE_SLACK_MS, "the purge to bind")
+    client = await w.client()
+    answers = [await client.get(n=n) for n in range(6)]
+    assert [body for word, _, body in answers if body.startswith(b"old")] == []
+    assert "200" in [word for word, _, _ in answers]
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("moment", ["before the start", "between kill and restart", "while it runs"])
+def test_no_copy_older_than_a_purge_is_served_with_the_clock_stepped(
+        tmp_path: Path, moment: str, step: float) -> None:
+    """Guards against a purge that is aged by a wall clock that is ahead: `oldest` would let copies from before it pass,
+    or not be sent at all."""
+
+    async def scene(w: FaultWorld) -> None:
+        hold(w.boxes, unix_ms() - 400)
+        if moment == "while it runs":
+            w.switches.step_wall(step)
+        elif moment == "between kill and restart":
+            w.switches.step_wall(step)
+            await w.restart()
+        stamp = await purge(w)
+        assert w.switches.wall_readings
+        await nothing_old_is_served(w, stamp)
+
+    if moment == "before the start":
+        class Stepped(FaultWorld):
+            def __init__(self, folder: Path) -> None:
+                super().__init__(folder)
+                self.switches.step_wall(step)
+
+        async def run() -> None:
+            async with Stepped(tmp_path) as w:
+                await scene(w)
+
+        asyncio.run(run())
+    else:
+        play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_purges_that_a_restart_is_told_hold_with_the_clock_stepped(tmp_path: Path, step: float) -> None:
+    """Purges of the last seconds come with the configuration, each with its own age, the newest last."""
+
+    async def scene(w: FaultWorld) -> None:
+        hold(w.boxes, unix_ms() - 400)
+        stamp = await purge(w)
+        await purge(w, set=99)
+        w.configure(known={"pos": len(w.journal.events), "entries": w.journal.events})
+        w.switches.step_wall(step)
+        await w.restart()
+        await nothing_old_is_served(w, stamp)
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("step", [-5.0, 5.0])
+def test_a_clock_that_steps_between_purge_and_request_changes_nothing(tmp_path: Path, step: float) -> None:
+    async def scene(w: FaultWorld) -> None:
+        hold(w.boxes, unix_ms() - 400)
+        stamp = await purge(w)
+        w.switches.step_wall(step)
+        await nothing_old_is_served(w, stamp)
+
+    play(tmp_path, scene)
+
+
+def test_a_server_that_gives_a_purged_copy_all_the_same_is_not_passed_on(tmp_path: Path) -> None:
+    """The second guard: each answer tells when its copy was made, and what is older than a purge that was known when it
+    was asked for is turned down."""
+
+    async def scene(w: FaultWorld) -> None:
+        hold(w.caches, unix_ms() - 400, obeys=False)
+        stamp = await purge(w)
+        await until(lambda: unix_ms() > stamp + PURGE_SLACK_MS, "the purge to bind")
+        client = await w.client()
+        word, _, body = await client.get()
+        assert not body.startswith(b"old") and word in ("200", "503")
+        assert w.counted("purged_copy", "turned down") >= 1
+
+    play(tmp_path, scene)
--- a/tests/world.py
+++ b/tests/world.py
@@ -267,9 +267,13 @@
         assert status == 200
         return {name: int(value) for name, _, value in (line.partition("=") for line in body.decode().split())}
 
+    def program(self) -> list[str]:
+        """The command that starts a proxy."""
+        return [sys.executable, "-m", "threadhill", "serve"]
+
     async def start(self, **environment: str) -> asyncio.subprocess.Process:
         """A proxy process as the platform starts one."""
-        words = [sys.executable, "-m", "threadhill", "serve"]
+        words = self.program()
         if self.operator:
             (self.folder / "operator.toml").write_text(self.operator)
             words += ["--operator", str(self.folder / "operator.toml")]
