Force failing system calls and a late dial on the running program: three tests fail

tests/faults/test_calls.py lets accept, socket, connect, recv and send of the real program fail by errno, or move one byte at a time; each test checks that its fault struck. Failing: who waits in the queue as the door shuts over a failing accept is never answered (EMFILE, ENFILE, EPROTO); after this machine was short of something servers stay ejected (12 cases); max is 2996 ms, 2.0 s after a request with 3 s came.

--- /dev/null
+++ b/tests/faults/test_calls.py
@@ -0,0 +1,133 @@
+"""System calls of the proxy that fail as Linux documents them: every request taken still gets its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.faults.world import FaultWorld, play
+from tests.test_endings import NotUp
+from tests.world import OBJECT, SETTINGS, Box, until
+
+OWN_SHORTAGE = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
+ACCEPT_ERRORS = [*OWN_SHORTAGE, errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.EHOSTUNREACH,
+                 errno.ENETUNREACH, errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.EINTR]
+PATIENT = {"limits": SETTINGS["limits"] | {"connect-timeout": 20_000_000}}
+
+
+def names(errors: list[int]) -> list[str]:
+    return [errno.errorcode[error] for error in errors]
+
+
+@pytest.mark.parametrize("error", ACCEPT_ERRORS, ids=names(ACCEPT_ERRORS))
+def test_a_client_whose_accept_failed_is_served(tmp_path: Path, error: int) -> None:
+    async def scene(w: FaultWorld) -> None:
+        w.switches.fail("accept", error, 3)
+        client = await w.client()
+        assert (await client.get())[0] == "200"
+        assert w.switches.strikes("accept") == 3 and w.counted("fault", "loop") == 0
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.EPROTO],
+                         ids=lambda error: errno.errorcode[error])
+def test_who_waits_in_the_queue_is_answered_though_accept_fails_as_the_door_shuts(
+        tmp_path: Path, error: int) -> None:
+    """The machine has accepted them: what they ask counts as taken. The calls fail until the door is being shut."""
+
+    async def scene(w: FaultWorld) -> None:
+        w.process.send_signal(signal.SIGTERM)
+        w.switches.fail("accept", error)
+        client = await w.client()
+        tag = client.ask()
+        await until(lambda: w.switches.strikes("accept"), "accept to fail")
+        await asyncio.sleep(0.9)  # past the time in which new ones are taken: the door is being shut
+        w.switches.fail("accept", 0, 0)
+        assert (await client.answer(tag))[0] in ("200", "503")
+        assert await asyncio.wait_for(w.process.wait(), 40) == 0
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("call", ["socket", "connect"])
+@pytest.mark.parametrize("error", [*OWN_SHORTAGE, errno.EADDRNOTAVAIL, errno.EAGAIN],
+                         ids=names([*OWN_SHORTAGE, errno.EADDRNOTAVAIL, errno.EAGAIN]))
+def test_a_shortage_of_this_machine_is_not_held_against_servers(tmp_path: Path, call: str, error: int) -> None:
+    """While no connection can be made, requests are refused at once. Right after it all servers are used again."""
+
+    async def scene(w: FaultWorld) -> None:
+        client = await w.client()
+        assert (await client.get())[0] == "200"  # the fronts and discovery are up
+        w.switches.fail(call, error)
+        answers = [await client.get(obj=f"{n:016x}") for n in range(60)]
+        assert {word for word, _, _ in answers} <= {"200", "503"}
+        assert w.switches.strikes(call)
+        w.switches.fail(call, 0, 0)
+        answers = [await client.get(obj=f"{n:016x}") for n in range(100, 120)]
+        assert [word for word, _, _ in answers] == ["200"] * 20
+        assert all(box.asked for box in w.caches)
+        assert (await w.figures())["out_of_rotation"] == 0
+
+    play(tmp_path, scene, management=True)
+
+
+@pytest.mark.parametrize("error", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNRESET],
+                         ids=lambda error: errno.errorcode[error])
+def test_a_connection_to_a_server_that_breaks_costs_a_read_nothing(tmp_path: Path, error: int) -> None:
+    async def scene(w: FaultWorld) -> None:
+        def late(ask: dict[str, str]) -> None:
+            for box in w.boxes:
+                box.behave = Box.serve_it
+            w.switches.fail("recv", error, 1)
+            for box in w.caches:
+                for writer in box.writers:
+                    writer.write(b"x")  # anything: the proxy reads, and its read fails
+
+        for box in w.boxes:
+            box.behave = late
+        client = await w.client()
+        assert (await client.get())[0] == "200"
+        assert w.switches.strikes("recv") == 1
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("call", ["recv", "send"])
+def test_reads_and_writes_of_one_byte_change_no_message(tmp_path: Path, call: str) -> None:
+    async def scene(w: FaultWorld) -> None:
+        w.switches.shorten(call, 1)
+        client = await w.client()
+        answers = [await client.get(n=n) for n in range(5)]
+        assert answers == [("200", {}, f"{OBJECT}/{n}".encode()) for n in range(5)]
+        assert (await client.get("license-buy", b"x" * 3_000, token="5c0f6e1a"))[0] == "200"
+        assert w.switches.strikes(call) > 1_000
+
+    play(tmp_path, scene)
+
+
+def test_max_is_what_the_client_has_left_when_the_request_is_written(tmp_path: Path) -> None:
+    """Whatever it waited for meanwhile: here a dial that comes up late."""
+
+    async def scene(w: FaultWorld) -> None:
+        (box,) = w.caches
+        box.server.close()
+        place = NotUp(box.host, box.port)
+        client = await w.client()
+        began = time.monotonic()
+        client.ask("license-buy", token="5c0f6e1a", budget=3_000)  # its attempt may take all the time there is
+        await until(lambda: w.counted("sent", "license-buy") == 1)
+        await asyncio.sleep(1.0)  # the wait that must come off `max`
+        await place.let()
+        await until(lambda: b"\r\n" in place.read, "the request")
+        waited = time.monotonic() - began
+        fields = dict(item.split("=", 1) for item in place.read.split()[2].decode().split(","))
+        assert waited >= 1.0 and 0 < int(fields["max"]) <= 3_000 - 1_000
+        place.close()
+
+    play(tmp_path, scene, caches=1, settings=PATIENT | {"extra": SETTINGS["extra"] | {"bypass-allowed": False}})
