Keep requests and servers through this machine's own shortages, and tell max as it is at the write

Cause: Door.shut closed over its queue at the first accept that failed (net/door.py), so who waited was reset unheard; a dial that failed with ENFILE, ENOBUFS, EADDRNOTAVAIL and the like ended as one that the server did not take and was scored against it; CacheServers.head wrote the time left when the attempt was decided on, not when it was written. Change: net/shortage.py names the errors; Outcome.SHORTAGE blames nobody and spends no retry; the door empties its queue before it closes, trying again while accept fails; Order.due; a connection whose kernel buffer is full takes no further attempt (Stream.takes), as it would begin after its time; what was never sent owes no sign of life. Class: a fault of this side charged to a peer, or a wait not taken off a budget.

--- a/threadhill/core/engine.py
+++ b/threadhill/core/engine.py
@@ -327,7 +327,8 @@
         self.stats.count("sent", request.ask.cls)
         cls = self.router.set.classes.get(request.ask.cls)
         once = cls is None or cls.effect is api.Effect.UNSAFE
-        self.caches.send(attempt, Order(request.ask, server, source, limit, age, mode, keep, once, until))
+        self.caches.send(attempt, Order(request.ask, server, source, limit, age, mode, keep, once,
+                                        now + limit if limit else 0, until))
 
     def _hand_over(self, handle: int, server: int, hold: int) -> None:
         """Tell the front the server, and the module, once the client should be done there, that it was told."""
--- a/threadhill/core/ports.py
+++ b/threadhill/core/ports.py
@@ -64,6 +64,7 @@
     mode: api.FillMode = api.FillMode.PLAIN
     keep: int = 0
     once: bool = False  # it must never run twice, so what may have run can't be sent again
+    due: int = 0  # when `limit` is over, in local time: how long the server is told it has is reckoned as it is written
     until: int = 0  # the moment from which on it must not begin any more; 0: none
 
 
--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -391,11 +391,15 @@
             server.hear(self.now, end.load.get("inflight"))
             server.open = max(0, server.open - end.weight)
             server.hits, server.busy = end.load.get("hits", server.hits), end.load.get("util", server.busy)
-            if end.outcome not in api.UNHEARD:
+            if end.outcome in api.OWES_NOTHING:
+                server.unheard = max(0, server.unheard - 1)
+            elif end.outcome not in api.UNHEARD:
                 server.unheard, server.lost = 0, False
         if job is None or not job.tried:
             return
         job.out = False
+        if end.outcome is Outcome.SHORTAGE:  # another server may have a connection already
+            job.avoid.add(end.server)
         source = self.fleet.servers.get(job.tried[-1][1])
         if server is not None:
             self.clock(job, end, server, source)
--- a/threadhill/decision/interface.py
+++ b/threadhill/decision/interface.py
@@ -55,14 +55,17 @@
     CANCELLED = "cancelled"
     UNSENT = "unsent"
     MISS = "miss"
+    SHORTAGE = "shortage"  # this machine could not open a connection: nothing was sent, and no server is to blame
     HANDED_OVER = "handed over"  # the client was told the server; how it went there is never known
 
 
-NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHED, Outcome.UNSENT, Outcome.MISS})
-NOTHING_SENT = frozenset({Outcome.UNREACHED, Outcome.UNSENT})
+NEVER_RAN = frozenset({Outcome.REFUSED, Outcome.UNREACHED, Outcome.UNSENT, Outcome.SHORTAGE, Outcome.MISS})
+NOTHING_SENT = frozenset({Outcome.UNREACHED, Outcome.UNSENT, Outcome.SHORTAGE})
 FAILED = frozenset({Outcome.REFUSED, Outcome.UNREACHED, Outcome.BROKEN, Outcome.ERROR})  # by server or source
 # The server said nothing:
-UNHEARD = frozenset({Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.UNSENT, Outcome.HANDED_OVER})
+UNHEARD = frozenset({Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.UNSENT, Outcome.SHORTAGE, Outcome.HANDED_OVER})
+# Nothing reached the server, so it owes no sign of life:
+OWES_NOTHING = frozenset({Outcome.UNSENT, Outcome.SHORTAGE})
 
 
 class Note(Enum):
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from threadhill.net.shortage import ACCEPT_NEXT, is_own_shortage
 from threadhill.net.stream import LINGER, Stream
 from threadhill.net.turns import Host
 
@@ -25,7 +25,7 @@
 YOUNG = 100_000  # microseconds in which nobody new is turned out: its first message may be on the way
 LOOK = 250_000  # microseconds between looks for those that are silent
 FULL_AGAIN = 10_000  # microseconds until the door looks again for room
-SHORT_AGAIN = 100_000  # the same when the machine has no descriptors or memory left
+SHORT_AGAIN = 20_000  # the same when the machine has no descriptors or memory left
 
 
 class Guest(Stream):
@@ -114,6 +114,8 @@
         self._coming: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
         self._inherited = False
+        self._shutting = False  # nobody new is taken; who waits in the queue still is
+        self._failing = False  # the last accept failed, though somebody may wait
         self._loop = asyncio.get_running_loop()
 
     async def listen(self, host: str, port: int) -> int:
@@ -151,12 +153,12 @@
 
     @property
     def listening(self) -> bool:
-        return self._socket is not None
+        return self._socket is not None and not self._shutting
 
     @property
     def empty(self) -> bool:
-        """Whether nobody is in, or coming in."""
-        return not self.guests and not self._coming
+        """Whether nobody is in, or coming in, or may still wait in the queue."""
+        return not self.guests and not self._coming and not (self._shutting and self._socket is not None)
 
     def fault(self, trace: str) -> None:
         self.engine.stats.count("fault", self.name)
@@ -165,15 +167,31 @@
     def shut(self) -> None:
         """Take nobody any more; who came in stays. The machine has accepted who waits in its queue, and what they ask
         counts as taken: closing over them would reset them unheard."""
-        if self._socket is not None:
-            self._loop.remove_reader(self._socket)
-            while not self._inherited and self._take():
-                pass
-            self._socket.close()
-            self._socket = None
+        if self._socket is None or self._shutting:
+            return
+        self._shutting = True
+        self._loop.remove_reader(self._socket)
+        if not self._inherited:
+            self._empty_queue()
+        else:
+            self._close()
+
+    def _empty_queue(self) -> None:
+        """Take who still waits, then close. While accept fails it is tried again: they wait still."""
+        for _ in range(BACKLOG):
+            if not self._take():
+                break
+        if self._failing:
+            self.engine.deadlines.add(self.engine.clock.now() + SHORT_AGAIN, self._empty_queue)
+        else:
+            self._close()
+
+    def _close(self) -> None:
+        self._socket.close()
+        self._socket = None
 
     def _open(self) -> None:
-        if self._socket is not None:
+        if self._socket is not None and not self._shutting:
             self._loop.add_reader(self._socket, self._come)
 
     def _pause(self, wait: int) -> None:
@@ -195,21 +213,25 @@
                 self._pause(wait)
                 return
             if not self._take():
+                if self._failing:
+                    self._pause(SHORT_AGAIN)
                 return
 
     def _take(self) -> bool:
         """Take one who waits; whether there was one, and there may be another."""
+        self._failing = False
         try:
             peer, address = self._socket.accept()
-        except ConnectionAbortedError:
-            return True
         except (BlockingIOError, InterruptedError):
             return False
         except OSError as error:
-            if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+            self._failing = True
+            self.engine.stats.count(self.name, f"accept failed, {error.strerror}")
+            if error.errno in ACCEPT_NEXT:
+                return True
+            if not is_own_shortage(error):
                 raise
             self._log(f"{self.name}: nobody taken for a while: {error}")
-            self._pause(SHORT_AGAIN)
             return False
         peer.setblocking(False)
         group = self._group(address[0]) if self._group is not None else ""
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -13,6 +13,7 @@
 from threadhill.core.ports import Ended, Order
 from threadhill.decision import interface as api
 from threadhill.decision.state import remember
+from threadhill.net.shortage import is_own_shortage
 from threadhill.net.stream import Stream
 
 HEAD = 1_024  # bytes of an answer's line at most
@@ -257,8 +258,9 @@
             return
         while self.waiting:
             sending = self.caches.sendings.get(self.waiting[0])
-            if sending is not None and self.caches.overdue(sending):  # its timer's turn has not come yet
-                self.caches.ended(self.waiting.popleft(), Ended(api.Outcome.UNSENT))
+            over = self.caches.overdue(sending) if sending is not None else None
+            if over is not None:  # its timer's turn has not come yet
+                self.caches.ended(self.waiting.popleft(), Ended(over))
                 continue
             wire = self._pick(sending.order) if sending is not None else None
             if sending is not None and wire is None:
@@ -318,6 +320,9 @@
         server and no proof that the attempt ran."""
         sending = self.caches.sendings[attempt]
         body = sending.order.ask.body
+        if not wire.takes():  # the server reads nothing: what is written now would begin when its time is over
+            wire.suspect = True
+            return False
         if not wire.write(self.caches.head(sending.order), body, b"\r\n"):
             wire.suspect = True
             return False
@@ -357,6 +362,13 @@
             self.caches.ended(attempt, Ended(api.Outcome.BROKEN if ran else api.Outcome.UNREACHED))
         self._drain()
 
+    def short(self) -> None:
+        """A dial failed for a shortage of this machine: that says nothing of the server. What waits is given back."""
+        self.dialling -= 1
+        while len(self.waiting) > self.dialling:
+            self.caches.ended(self.waiting.popleft(), Ended(api.Outcome.SHORTAGE))
+        self._drain()
+
     def dialled(self, up: bool) -> None:
         """A dial ended. Where it failed, what waits beyond the dials still out has no way to the server."""
         self.dialling -= 1
@@ -442,9 +454,12 @@
         if order.until and sending.wire is None and attempt in self.sendings:
             sending.due = self.engine.deadlines.add(order.until, lambda: self.ended(attempt, Ended(api.Outcome.UNSENT)))
 
-    def overdue(self, sending: Sending) -> bool:
-        """Whether one that still waits must not begin any more."""
-        return 0 < sending.order.until <= self.engine.clock.now()
+    def overdue(self, sending: Sending) -> api.Outcome | None:
+        """How one that still waits ends, if it must not begin any more; None: it may."""
+        now, order = self.engine.clock.now(), sending.order
+        if 0 < order.until <= now:
+            return api.Outcome.UNSENT
+        return api.Outcome.UNREACHED if 0 < order.due <= now else None
 
     def _leave(self, attempt: int) -> Sending | None:
         """The one way out of the table: what it held is given back once."""
@@ -539,8 +554,9 @@
     def head(self, order: Order) -> bytes:
         ask = order.ask
         fields = [f"profile={ask.cls}", f"thing={ask.object}", f"nth={ask.part}"]
-        if order.limit:
-            fields.append(f"max={-(-order.limit // 1_000)}")
+        if order.limit:  # less what it waited for meanwhile
+            left = min(order.limit, order.due - self.engine.clock.now()) if order.due else order.limit
+            fields.append(f"max={max(1, -(-left // 1_000))}")
         if ask.token is not None:
             fields.append(f"replay={ask.token}")
         if order.source != order.server:
@@ -574,6 +590,15 @@
             self.log(f"{pool.name}: no connection: {error!r}")
             if not wire.counted:
                 self.held -= 1
-            pool.dialled(up=False)
-        else:
-            pool.dialled(up=True)
+            if is_own_shortage(error):
+                pool.short()
+            else:
+                pool.dialled(up=False)
+            return
+        if wire.transport is not None and wire.transport.get_extra_info("peername") is None:
+            # asyncio takes EAGAIN of connect(2), no free port, for a connection that is under way.
+            self.engine.stats.count("connection", "failed")
+            wire.abort()
+            pool.short()
+            return
+        pool.dialled(up=True)
--- a/threadhill/net/stream.py
+++ b/threadhill/net/stream.py
@@ -163,6 +163,17 @@
         reads, and would end it over what came in time."""
         return not self._peer_done and self._shows(select.POLLIN)
 
+    def takes(self) -> bool:
+        """Whether the kernel takes something to be sent now: not where the peer has read nothing for long."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        connected = self.transport.get_extra_info("socket")
+        if connected is None:  # a transport without a socket, as of a test
+            return True
+        look = select.poll()
+        look.register(connected.fileno(), select.POLLOUT)
+        return bool(look.poll(0))
+
     def _shows(self, event: int) -> bool:
         if self.transport is None or self.transport.is_closing():
             return False
