--- a/tests/faults/program.py
+++ b/tests/faults/program.py
@@ -65,7 +65,13 @@
 def fail_files(switches: Switches) -> None:
     """Let writes and syncs of files fail, and tear a write after some bytes."""
     real_write, real_sync = os.write, os.fsync
-    real_bytes = Path.write_bytes
+    real_bytes, real_read = Path.write_bytes, Path.read_bytes
+
+    def read_bytes(path: Path) -> bytes:
+        error = switches.strike("read_file")
+        if error:
+            raise OSError(error, os.strerror(error))
+        return real_read(path)
 
     def write(descriptor: int, data: Any) -> int:
         error = switches.strike("write_file")
@@ -87,7 +93,7 @@
         real_sync(descriptor)
 
     os.write, os.fsync = write, sync
-    Path.write_bytes = write_bytes
+    Path.write_bytes, Path.read_bytes = write_bytes, read_bytes
 
 
 if __name__ == "__main__":
--- a/tests/faults/switches.py
+++ b/tests/faults/switches.py
@@ -10,7 +10,7 @@
 import mmap
 from pathlib import Path
 
-CALLS = ("accept", "socket", "connect", "send", "recv", "write_file", "sync_file")
+CALLS = ("accept", "socket", "connect", "send", "recv", "read_file", "write_file", "sync_file")
 WALL_STEP, WALL_READ, FIRST_CALL = 0, 1, 2  # places in the table
 ERRNO, LEFT, STRUCK, SHORT = range(4)  # places in a call's row
 ROW = 4
--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -12,7 +12,7 @@
 
 from tests.faults.world import FaultWorld, play
 from tests.test_endings import NotUp
-from tests.world import OBJECT, SETTINGS, Box, until
+from tests.world import OBJECT, SETTINGS, Box, Journal, until
 
 OWN_SHORTAGE = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
 ACCEPT_ERRORS = [*OWN_SHORTAGE, errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.EHOSTUNREACH,
@@ -111,6 +111,18 @@
     play(tmp_path, scene)
 
 
+@pytest.mark.parametrize("call", ["socket", "connect"])
+def test_a_start_waits_for_a_machine_that_is_short_of_something(tmp_path: Path, call: str) -> None:
+    async def scene(w: FaultWorld) -> None:
+        w.switches.fail(call, errno.ENFILE, 6)
+        await w.restart()
+        client = await w.client()
+        assert (await client.get())[0] == "200"
+        assert w.switches.strikes(call) == 6
+
+    play(tmp_path, scene)
+
+
 def test_max_is_what_the_client_has_left_when_the_request_is_written(tmp_path: Path) -> None:
     """Whatever it waited for meanwhile: here a dial that comes up late."""
 
@@ -131,3 +143,33 @@
         place.close()
 
     play(tmp_path, scene, caches=1, settings=PATIENT | {"extra": SETTINGS["extra"] | {"bypass-allowed": False}})
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.EIO, errno.ENFILE], ids=lambda error: errno.errorcode[error])
+def test_a_new_configuration_is_taken_though_its_file_cannot_be_read_at_first(tmp_path: Path, error: int) -> None:
+    """Guards against a proxy that goes on following a discovery service which tells nothing any more."""
+
+    async def scene(w: FaultWorld) -> None:
+        other = Journal()
+        await other.start()
+        other.events = list(w.journal.events)
+        w.configure(journal=f"127.0.0.1:{other.port}")
+        w.switches.fail("read_file", error, 3)
+        w.process.send_signal(signal.SIGHUP)
+        await until(lambda: other.tails, "the new service to be asked")
+        assert w.switches.strikes("read_file") == 3
+        other.server.close()
+        other.reset()
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE], ids=lambda error: errno.errorcode[error])
+def test_a_start_waits_for_a_configuration_that_cannot_be_opened_yet(tmp_path: Path, error: int) -> None:
+    async def scene(w: FaultWorld) -> None:
+        w.switches.fail("read_file", error, 3)
+        await w.restart()
+        client = await w.client()
+        assert (await client.get())[0] == "200" and w.switches.strikes("read_file") == 3
+
+    play(tmp_path, scene)
