Wait for descriptors at a start, and read a new configuration again until it can be read

Cause: Door.listen and serve.start gave up at the first socket(2) or open(2) that failed with EMFILE or ENFILE; Proxy.reload read its file once, so that a full table at that moment left the proxy with the old discovery service for good. Change: both wait up to 8 s, a reload without end; what is wrong in a file is still refused at once.

--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -25,6 +25,10 @@
     """The configuration cannot be used; the text says why."""
 
 
+class Unreadable(BadConfig):
+    """The file cannot be read now, which may pass; the text says why."""
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What one proxy is told when it starts."""
@@ -98,6 +102,10 @@
     if not path:
         raise BadConfig("LB_CONFIG is not set: it names the configuration file")
     try:
-        return read_config(orjson.loads(Path(path).read_bytes()), environ)
-    except (OSError, ValueError, Malformed) as error:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        raise Unreadable(f"{path}: {error}") from error
+    try:
+        return read_config(orjson.loads(raw), environ)
+    except (ValueError, Malformed) as error:
         raise BadConfig(f"{path}: {error}") from None
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -25,6 +25,7 @@
 YOUNG = 100_000  # microseconds in which nobody new is turned out: its first message may be on the way
 LOOK = 250_000  # microseconds between looks for those that are silent
 FULL_AGAIN = 10_000  # microseconds until the door looks again for room
+START_PATIENCE = 8.0  # seconds for which a start waits for a machine that is short of descriptors or memory
 SHORT_AGAIN = 20_000  # the same when the machine has no descriptors or memory left
 
 
@@ -122,7 +123,7 @@
         """Listen there; the port."""
         found = await self._loop.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE)
         family, kind, proto, _, where = found[0]
-        self._socket = socket.socket(family, kind, proto)
+        self._socket = await self._new_socket(family, kind, proto)
         self._socket.setblocking(False)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -135,6 +136,18 @@
         self._look()
         return self._socket.getsockname()[1]
 
+    async def _new_socket(self, family: int, kind: int, proto: int) -> socket.socket:
+        """A socket; while the machine is short of what it takes, that is waited for, as long as a start may take."""
+        end = self._loop.time() + START_PATIENCE
+        while True:
+            try:
+                return socket.socket(family, kind, proto)
+            except OSError as error:
+                if not is_own_shortage(error) or self._loop.time() > end:
+                    raise
+                self._log(f"{self.name}: not listening yet: {error}")
+            await asyncio.sleep(SHORT_AGAIN / 1e6)
+
     def adopt(self, descriptor: int) -> int:
         """Listen on a socket that this process was given, listening already; the port. It stays the platform's: on
         the way out it is left to whoever else holds it, with the connections that wait in its queue."""
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import os
 import signal
@@ -16,7 +17,7 @@
 import orjson
 
 from threadhill.cli_codes import CHANGES, DONE
-from threadhill.config import BadConfig, Config, load
+from threadhill.config import BadConfig, Config, Unreadable, load
 from threadhill.core.engine import Engine
 from threadhill.log import Log
 from threadhill.net.door import Door
@@ -42,11 +43,16 @@
 CORDONS_LOOK = 200_000  # microseconds between looks whether another process of this proxy was told of cordons
 CORDONS_KEEP = 60_000_000  # microseconds for which one put back is told as cold to a process that starts later
 KEYS_LOOK = 500_000  # microseconds between looks whether a zone's keys changed
+START_PATIENCE = 8.0  # seconds for which a start waits for a configuration that cannot be read
+START_AGAIN = 0.05  # seconds between its tries
+RELOAD_AGAIN = 200_000  # microseconds between tries to read a new configuration
 CLOCK_LOOK = 1_000_000  # microseconds between looks whether the wall clock was stepped
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
 KILL_LONGEST = 3_000_000  # microseconds of the longest deadline as SIGKILL counts it where the classes' are longer
 BEFORE_KILL = 100_000  # microseconds before SIGKILL may come at which what is open is failed, to be read in time
 
+MAY_PASS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EINTR, errno.EAGAIN})
+
 log = Log(time.monotonic)
 
 
@@ -68,6 +74,7 @@
         self.node_guards: dict[str, Control] = {}  # of DNS views' nodes
         self.recovery: Recovery | None = None
         self._leaving = 0  # when SIGTERM came
+        self._reload_again: tuple[int, int] | None = None  # when a file that could not be read is tried again
         self._watch_clock()
         self._given_up = False  # what was still open was failed, as SIGKILL is near
 
@@ -340,12 +347,20 @@
     def reload(self, environ: Mapping[str, str] = os.environ) -> None:
         """SIGHUP: the file is read and checked whole before anything changes; a bad one changes nothing. Journal
         and limits move at once; what stands for the process itself, or shapes the module, takes a restart."""
+        self.deadlines.drop(self._reload_again)
         try:
             new = load(environ)
+        except Unreadable as error:  # a full table of descriptors, a disk that errs: it may pass
+            self.stats.count("reload", "put off")
+            if self._reload_again is None:
+                log.event(f"reload: {error}; everything stays as it is, it is tried again until it can be read")
+            self._reload_again = self.deadlines.add(self.clock.now() + RELOAD_AGAIN, lambda: self.reload(environ))
+            return
         except BadConfig as error:
             self.stats.count("reload", "refused")
             log.event(f"reload: {error}; everything stays as it is")
             return
+        self._reload_again = None
         old, self.config = self.config, new
         later = [key for key in ("name", "listen", "settings") if getattr(old, key) != getattr(new, key)]
         self.caches.limit(self._limits(new))
@@ -416,10 +431,25 @@
         raise BadConfig(str(error)) from None
 
 
+def load_at_start(environ: Mapping[str, str]) -> Config:
+    """The configuration. One that cannot be read for a shortage of this machine is waited for; one that is not there,
+    or is not to be read by this user, is not."""
+    end = time.monotonic() + START_PATIENCE
+    while True:
+        try:
+            return load(environ)
+        except Unreadable as error:
+            passing = isinstance(error.__cause__, OSError) and error.__cause__.errno in MAY_PASS
+            if not passing or time.monotonic() > end:
+                raise
+            log(f"threadhill: {error}; it is tried again")
+        time.sleep(START_AGAIN)
+
+
 def start(operator: Path | None = None) -> int:
     """What `threadhill serve` does, from the environment to the exit code; `operator` is the operator's file."""
     try:
-        loaded = load(os.environ)
+        loaded = load_at_start(os.environ)
         if operator is None:
             serve(loaded, None)
         else:
