Find an object's servers one at a time, so that a request's cost does not grow with the list

Cause: route_read walked all servers several times a request, Fleet.in_order sorted all of them for each object and kept the whole order, and each change of one server made every look-up anew (decision/choice.py, state.py). Decisions change only where over 256 caches are listed.

--- /dev/null
+++ b/tests/test_server_order.py
@@ -0,0 +1,187 @@
+"""An object's order of servers, as laws, and what finding it costs."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+
+import pytest
+
+from tests.script import CACHES, MS, SECOND, Script, cache, fleet
+from threadhill.decision import interface as api
+from threadhill.decision.order import KEPT_PLACES, SMALL, ServerOrder
+from threadhill.decision.state import Server
+
+LARGE = 3_200
+OBJECTS = [f"{n:016x}" for n in range(400)]
+
+
+def order_of(numbers: range | list[int]) -> ServerOrder:
+    order = ServerOrder()
+    for number in numbers:
+        order.put(Server(cache(number), 24.0))
+    return order
+
+
+def first(order: ServerOrder, name: str, places: int = 8) -> list[int]:
+    return [s.entry.server for s in itertools.islice(order.of(name), places)]
+
+
+@pytest.mark.parametrize("count", [1, 7, SMALL, SMALL + 1, LARGE])
+def test_an_order_has_every_server_once_and_is_the_same_whenever_and_however_it_was_made(count: int) -> None:
+    order, other = order_of(range(count)), order_of(list(range(count))[::-1])
+    for name in OBJECTS[:3]:
+        whole = first(order, name, count + 1)
+        assert sorted(whole) == list(range(count))
+        assert first(order, name, 3) == whole[:3] == first(other, name, 3)
+
+
+@pytest.mark.parametrize("count", [200, LARGE])
+def test_a_leaver_drops_out_and_later_ones_move_up_and_one_that_joins_moves_no_other(count: int) -> None:
+    order = order_of(range(count))
+    before = {name: first(order, name) for name in OBJECTS}
+    leaver = before[OBJECTS[0]][0]
+    order.drop(leaver)
+    for name, old in before.items():
+        rest = [number for number in old if number != leaver]
+        assert first(order, name)[: len(rest)] == rest
+    order.put(Server(cache(leaver), 24.0))
+    assert {name: first(order, name) for name in OBJECTS} == before
+
+
+@pytest.mark.parametrize("count", [SMALL, 800, LARGE])
+def test_first_places_are_spread_as_evenly_as_by_chance(count: int) -> None:
+    order = order_of(range(count))
+    per_server = 20
+    seen = Counter(first(order, f"{n:016x}", 1)[0] for n in range(count * per_server))
+    variance = sum((seen[number] - per_server) ** 2 for number in range(count)) / count
+    assert 0.7 * per_server < variance < 1.4 * per_server  # that of a Poisson distribution is its mean
+    assert len(seen) == count
+
+
+@pytest.mark.parametrize("count", [SMALL + 1, 800, LARGE])
+def test_the_work_for_an_order_does_not_grow_with_the_number_of_servers(count: int) -> None:
+    order = order_of(range(count))
+    work = []
+    for name in OBJECTS:
+        before = order.looked_at
+        first(order, name, 3)
+        work.append(order.looked_at - before)
+    # At the fewest servers a place takes 128 draws in the mean, so three take 1,076 or fewer in 99 of 100 cases.
+    assert sorted(work)[len(work) * 99 // 100] <= 1_280
+    before = order.looked_at
+    for name in OBJECTS:
+        first(order, name, 3)
+    assert order.looked_at == before  # kept
+
+
+def test_what_is_kept_of_an_order_is_bounded() -> None:
+    order = order_of(range(LARGE))
+    first(order, OBJECTS[0], LARGE)
+    assert len(order._kept[OBJECTS[0]]) == KEPT_PLACES
+
+
+# --- the module with many servers: every hard case is answered, with bounded work
+
+
+class Counted(Script):
+    """A router with so many caches; `looked` tells the servers that one request looked at."""
+
+    def __init__(self, count: int, **changes: object) -> None:
+        self.numbers = range(1_000, 1_000 + count)
+        super().__init__(entries=fleet(self.numbers))
+        if changes:
+            self.list([cache(number, **changes) for number in self.numbers])
+        self.judged = 0
+        judge = self.router.in_budget
+
+        def counting(server: Server, work: float, weight: float = 1.0) -> bool:
+            self.judged += 1
+            return judge(server, work, weight)
+
+        self.router.in_budget = counting
+
+    def looked(self, name: str, **more: object) -> tuple[int, list[api.Action]]:
+        before = self.judged
+        actions = self.ask(name, **more)
+        return self.judged - before, actions
+
+
+@pytest.mark.parametrize("count", [200, LARGE])
+def test_a_usual_request_looks_at_a_few_servers(count: int) -> None:
+    script = Counted(count)
+    work = [script.looked(name)[0] for name in OBJECTS]
+    assert max(work) <= 8
+
+
+@pytest.mark.parametrize("count", [200, LARGE])
+@pytest.mark.parametrize("trouble", ["ejected", "full", "in slow start"])
+def test_the_first_fifty_of_an_order_may_all_be_unusable(count: int, trouble: str) -> None:
+    script = Counted(count)
+    name = OBJECTS[0]
+    script.serve(name)
+    for server in itertools.islice(script.router.fleet.caches.of(name), 50):
+        if trouble == "ejected":
+            server.ejected_until = script.now + 60 * SECOND
+        elif trouble == "full":
+            server.open = server.room + 1
+        else:
+            server.entry = cache(server.entry.server, since=script.now - 1)
+            server.credit, server.credit_at = -1.0, script.now
+    work, (action,) = script.looked(name)
+    assert isinstance(action, api.Fetch) and work <= 64
+
+
+@pytest.mark.parametrize("count", [200, LARGE])
+def test_nine_in_ten_servers_may_drain_at_once(count: int) -> None:
+    script = Counted(count)
+    left = set(script.numbers[::10])
+    script.list([cache(n, state=api.State.DRAINING) for n in script.numbers if n not in left])
+    for name in OBJECTS[:50]:
+        work, (action,) = script.looked(name)
+        assert isinstance(action, api.Fetch) and action.server in left and work <= 8
+
+
+@pytest.mark.parametrize("count", [200, LARGE])
+def test_every_server_may_be_cold(count: int) -> None:
+    script = Counted(count, since=1000 * SECOND)
+    for name in OBJECTS[:50]:
+        work, actions = script.looked(name)
+        assert actions and work <= max(64, SMALL) + 4
+
+
+@pytest.mark.parametrize("count", [200, LARGE])
+def test_one_object_with_a_third_of_all_requests_is_spread_over_many_servers(count: int) -> None:
+    script = Counted(count)
+    seen: Counter[int] = Counter()
+    for n in range(6_000):
+        name = "hot" if n % 3 == 0 else OBJECTS[n % len(OBJECTS)]
+        if n == 3_000:  # copies grow by one a second: as after some minutes
+            script.router.rates["hot"].copies = 150
+        before = script.judged
+        sent = script.serve(name)
+        if n > 3_000 and name == "hot":
+            seen[sent.server] += 1
+            assert script.judged - before <= 150 + 4
+        script.wait(4 * MS)
+    assert len(seen) > 100 and max(seen.values()) < sum(seen.values()) / 20
+
+
+def test_a_list_that_changes_costs_each_server_its_own_change_only() -> None:
+    """3,200 servers, each change of one: neither the others nor the orders of objects are reckoned anew."""
+    script = Counted(LARGE)
+    order = script.router.fleet.caches
+    before = order.looked_at
+    for n in range(600):
+        number = script.numbers[n]
+        script.list([cache(number, state=api.State.DRAINING)])
+        script.list([cache(number)])
+    assert order.looked_at == before and len(order) == LARGE
+
+
+def test_a_list_may_shrink_to_three_and_every_object_is_served_from_these() -> None:
+    script = Counted(LARGE)
+    script.serve("a")
+    script.list(fleet(CACHES[:3]), api.ListKind.FULL)
+    assert {script.serve(name).server for name in OBJECTS[:60]} == set(CACHES[:3])
+    assert len(script.router.fleet.caches) == 3
--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -8,10 +8,15 @@
 import heapq
 import math
 import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from itertools import islice
 
 from threadhill.decision import interface as api
 from threadhill.decision.freshness import EVERYTHING, Freshness, PurgeRecord
 from threadhill.decision.interface import FillMode, Note, Outcome
+from threadhill.decision.order import KEPT_PLACES, SMALL, in_order_of
+from threadhill.decision.running import RotatingSum
 from threadhill.decision.state import Fleet, Job, Mean, Rate, Server, Tally, faded, remember, take_hints
 
 SECOND = INTERVAL = 1_000_000  # microseconds; a request rate is counted over as many, as the design page sets it
@@ -49,9 +54,19 @@
 SUSPECT = 0.25  # how slow a server is taken for that nothing is known of, where it is asked who was
 PACE_SAFETY = 0.6  # part of the aim that an answer should take, a fill too: times are means, and half are longer
 ANSWER_EARLY = 2_000  # microseconds before its deadline at which an open request is failed
+LOOKED_AT = 64  # servers of an object's order that one request looks at, where there are more than can be sorted
 COME_BACK, ASK_AGAIN, SPREAD = SECOND // 2, 2 * SECOND, 0.5  # wait after a refusal, a failed list call; part by chance
 
 
+@dataclass(slots=True)
+class Candidates:
+    """What a request found of its object's order of caches."""
+
+    fit: bool = False  # whether any may be chosen at all
+    quick: list[Server] = field(default_factory=list)  # those that are likely to answer in time
+    usable: list[Server] = field(default_factory=list)  # those of them that have room
+
+
 class Router:
     """Decides for one instance: `start` once, then `handle` for each event; both return actions."""
 
@@ -73,6 +88,8 @@
         self.filling: dict[tuple[str, int], int] = {}  # (request, attempt) -> source of its fill
         self.due: list[tuple[int, str, int]] = []  # when each attempt that is out should be over: a heap
         self.retries = self.burst = max(1.0, RETRY_BURST / self.crew)
+        self.fills_here = RotatingSum()  # fills that the location's caches have asked for
+        self.locations = sum(map(bool, settings.zone_routers))  # those with routers
         self.link, self.link_heard = 0.0, 0  # how full the location's link in is, and when that was told
         self.handlers = {api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.ListNews: self.on_list,
                          api.Purge: self.on_purge, api.TimerDue: self.on_timer, api.ClientGone: self.on_left,
@@ -104,11 +121,13 @@
     def on_list(self, news: api.ListNews) -> None:
         if news.kind is not api.ListKind.FAILED:
             self.fleet.update(news, self.room_first)
-            serves = sum(map(bool, self.set.zone_routers)) / max(1, len(self.fleet.parents))  # locations each
+            serves = self.locations / max(1, len(self.fleet.parents))  # locations each
             fills = max(1.0, serves / SERVED) / self.set.routers
             self.fills_least = FILLS_LEAST * fills
-            for source in [s for s in self.fleet.servers.values() if s.fill_room == math.inf]:
-                source.fill_room = FILLS_FIRST * fills
+            for entry in news.entries:
+                source = self.fleet.servers.get(entry.server)
+                if source is not None and source.fill_room == math.inf:
+                    source.fill_room = FILLS_FIRST * fills
         elif self.set.list_on_request:
             self.actions.append(api.SetTimer(self.spread(ASK_AGAIN), "list"))
 
@@ -140,15 +159,31 @@
         most = max(work / weight, share * self.set.fall_window / SECOND / 2)
         return server.earn(self.now, share / SECOND, most, self.random.random() * work) >= work
 
-    def fit(self, servers: list[Server], work: float, weight: float = 1.0) -> list[Server]:
-        """Guards 1 to 3: those that may be chosen; if all look ill the fault lies elsewhere, unless silent."""
+    def eject_silent(self) -> None:
+        """Guard 3: servers that are hung, cut off or stalled, found among those that owe a sign of life."""
         silence = max(SILENT, SILENT_TIMES * self.usual_took.value)
-        for s in servers:
-            if s.unheard >= SILENT_SENDS and self.now - s.unheard_since > silence:  # hung, cut off or stalled
-                s.lost = self.set.direct  # then there is a way past it
-                self.eject(s, silent=True)
-        well = [s for s in servers if self.now >= s.ejected_until] or [s for s in servers if not s.lost]
-        return [s for s in well if self.in_budget(s, work * weight, weight)]
+        for number, server in list(self.fleet.awaited.items()):
+            if server.unheard < SILENT_SENDS:
+                del self.fleet.awaited[number]
+            elif self.now - server.unheard_since > silence and server in self.fleet.peers(server):
+                server.lost = self.set.direct  # then there is a way past it
+                self.eject(server, silent=True)
+
+    def fit(self, order: Iterable[Server], work: float, weight: float = 1.0) -> Iterator[Server]:
+        """Guards 1 to 3: those of an order that may be chosen, found as they are asked for. If all that are looked at
+        look ill the fault lies elsewhere, unless they are silent."""
+        ejected: list[Server] = []
+        some_well = False
+        for server in islice(order, max(LOOKED_AT, SMALL if self.fleet.caches.small else 0)):
+            if self.now < server.ejected_until:
+                ejected.append(server)
+                continue
+            some_well = True
+            if self.in_budget(server, work * weight, weight):
+                yield server
+        for server in ejected if not some_well else ():
+            if not server.lost and self.in_budget(server, work * weight, weight):
+                yield server
 
     def others(self, cache: Server) -> float:
         """Attempts of the location's other routers there: as reported lately, else by own traffic."""
@@ -167,9 +202,9 @@
         """Guard 11: the same for a fill. All locations are taken to ask as this one does."""
         if share >= 1 or source.fills >= 1:
             return source.fills + part < share
-        here = sum((s.open + self.others(s)) * (1 - s.hits) for s in self.fleet.caches) / self.crew
-        asked = self.fleet.parents or [self.fleet.origin]
-        own = here / len(asked) if source in asked else source.fills_lately(self.now)
+        here = self.fills_here.of(self.fleet.caches, lambda s: (s.open + self.others(s)) * (1 - s.hits)) / self.crew
+        is_parent = not self.fleet.parents or source in self.fleet.parents
+        own = here / max(1, len(self.fleet.parents)) if is_parent else source.fills_lately(self.now)
         return part < share or (0.5 + part) * self.set.routers * own < share * self.set.routers
 
     def in_time_chance(self, job: Job, server: Server) -> float:
@@ -181,7 +216,7 @@
         took = faded(source.speed.get(job.large, (1.0, 0)), self.now, FADES) * (job.send + LATENCY)
         return (PACE_SAFETY * job.aim / took) ** 2
 
-    def count(self, ask: api.Request, parts: bool, caches: list[Server]) -> None:
+    def count(self, ask: api.Request, parts: bool, caches: int) -> None:
         """Count the request, own for all of the location's, and adapt the object's copies."""
         interval = self.now // INTERVAL
         self.total.roll(interval, self.weight, 1.0)
@@ -193,49 +228,46 @@
         asked = self.crew * (rate.rate + news) if not rate.first or rate.count else float(self.crew > 1)
         asked = max(asked, rate.hinted(self.now))
         remember(self.rates, ask.object, rate, TABLE_SIZE)
-        share = SHARE_OF_CACHE * self.crew * self.total.rate / max(1, len(caches))
+        share = SHARE_OF_CACHE * self.crew * self.total.rate / max(1, caches)
         limit = max(RATE_FLOOR, share) * (PARTS_SHARE if parts else 1.0)
-        for _ in range(min(steps, len(caches))):
+        for _ in range(min(steps, caches)):
             if asked / rate.copies > limit and (parts or self.link < LINK_FULL):  # further copies need fills
                 rate.copies += 1
             elif rate.copies > 1 and asked / (rate.copies - 1) < limit:
                 rate.copies -= 1
-        rate.copies = max(1, min(rate.copies, len(caches)))
+        rate.copies = max(1, min(rate.copies, caches))
         rate.count += not ask.repeat
         self.total.count += not ask.repeat
 
     def source(self, job: Job) -> Server | None:
         """The faster for the size of the object's first two parents; the origin where none may be asked."""
         name = f"{job.ask.object}/{job.ask.part}" if job.cls.parts else job.ask.object  # a hot object's parts spread
-        parents = self.fit(self.fleet.in_order(name, self.fleet.parents), job.work)
-        parents = [p for p in parents if p.entry.server not in job.avoid]
+        fit = self.fit(self.fleet.parents.of(name), job.work)
+        parents = list(islice((p for p in fit if p.entry.server not in job.avoid), 2))
         if len(parents) < 2 or self.set.tells is api.Tells.NONE:
             return parents[0] if parents else self.fleet.origin
         usual = self.fill_time.get(job.large, Mean(1.0)).value
-        heard = [p.speed.get(job.large, (usual, self.now)) for p in parents[:2]]
+        heard = [p.speed.get(job.large, (usual, self.now)) for p in parents]
         first, second = (time if self.now - when < FADES else usual for time, when in heard)
         return parents[1] if first - second > FASTER * job.aim / (job.send + LATENCY) else parents[0]
 
     def route_read(self, job: Job) -> tuple[Server, Server] | None:
         """One of the first k of the object's order that are fit and have room; None if none may be asked."""
         job.held_only = False
-        ready = [s for s in self.fleet.in_order(job.ask.object, self.fleet.caches) if self.in_scope(job, s)]
+        self.eject_silent()
         draw, part = self.random.random(), self.random.random()
-        fit, source = self.fit(ready, job.work, job.ask.weight), self.source(job)
-        if job.ask.hand_over:  # nothing comes back of it, so it is no trial of one that was ejected
-            fit, source = [s for s in fit if not s.ejections], source if source and not source.ejections else None
-        if not fit and self.set.direct and source is not None and source.open + part < source.room:
+        rate, source = self.rates.get(job.ask.object, Rate()), self.source(job)
+        if job.ask.hand_over and source is not None and source.ejections:
+            source = None  # nothing comes back of it, so it is no trial of one that was ejected
+        found = self.look(job, rate.copies, draw, part)
+        if not found.fit and self.set.direct and source is not None and source.open + part < source.room:
             may = self.in_scope(job, source) and draw < self.in_time_chance(job, source)
             return (source, self.fleet.origin or source) if may else None  # its own source: only what it holds
-        # Guard 8: full caches refuse. Sending past them would only move the crowd to link and origin.
-        quick = [s for s in fit if draw < self.in_time_chance(job, s)]
-        own, blind = job.ask.share, self.room_first if job.ask.hand_over else -1  # a guessed room refuses no such one
-        usable = [s for s in quick if self.has_room(s, own, part * job.ask.weight) or not s.heard and s.room == blind]
+        usable = found.usable
         if not usable and not job.ask.hand_over:
             # What fills the rooms may be waiting for a slow origin. What is held needs none of that: only a look.
-            usable, source = [s for s in quick if self.has_room(s, LOOKS, part)], None
+            usable, source = [s for s in found.quick if self.has_room(s, LOOKS, part)], None
         usable = [s for s in usable if s.entry.server not in job.avoid] or usable
-        rate = self.rates.get(job.ask.object, Rate())
         pool = usable[: rate.copies]
         if not pool:
             return None
@@ -243,7 +275,7 @@
             # Parts are kept one by one: one draw for each. All may ask for one part of a live object at once.
             share = HOT_SHARE * self.total.rate / max(1, len(self.fleet.caches))
             copies = 1 + int(rate.rate / share) if share else 1
-            pool = self.fleet.in_order(f"{job.ask.object}/{job.ask.part}", pool)[:copies]
+            pool = in_order_of(f"{job.ask.object}/{job.ask.part}", pool)[:copies]
         cache = pool[self.random.randrange(len(pool))]
         origin = self.fleet.origin
         if source is not None and not self.may_fill(source, source.fill_room, part):  # Guard 11
@@ -259,15 +291,57 @@
         filled = source is not None and self.random.random() >= excess and draw < self.fill_chance(job, source)
         return cache, source if filled else cache
 
+    def look(self, job: Job, copies: int, draw: float, part: float) -> Candidates:
+        """Guards 1 to 3, 6 and 8: look through the object's order of caches until as many usable ones are found as it
+        has copies. Full caches refuse: sending past them would only move the crowd to link and origin."""
+        own, blind = job.ask.share, self.room_first if job.ask.hand_over else -1  # a guessed room refuses no such one
+        order, wanted = self.order_for(job, copies)
+        found = Candidates()
+        not_avoided = 0
+        in_scope = (s for s in order if self.in_scope(job, s))
+        for server in self.fit(in_scope, job.work, job.ask.weight):
+            if job.ask.hand_over and server.ejections:
+                continue
+            found.fit = True
+            if draw >= self.in_time_chance(job, server):
+                continue
+            found.quick.append(server)
+            if self.has_room(server, own, part * job.ask.weight) or not server.heard and server.room == blind:
+                found.usable.append(server)
+                not_avoided += server.entry.server not in job.avoid
+                if not_avoided == wanted:
+                    break
+        return found
+
+    def order_for(self, job: Job, copies: int) -> tuple[Iterable[Server], int]:
+        """The object's order of caches, and how many usable ones are wanted of it. Where there are many caches, an
+        object with more copies than places are kept has several orders, each with as many places: each request looks
+        at one place of one of them only, and parts have an order each."""
+        name, caches = job.ask.object, self.fleet.caches
+        if caches.small or copies <= KEPT_PLACES:
+            return caches.of(name), copies
+        if job.cls.parts:
+            return caches.of(f"{name}/{job.ask.part}"), 1
+        which = self.random.randrange(-(-copies // KEPT_PLACES))
+        order = caches.of(f"{name}#{which}" if which else name)
+        return islice(order, self.random.randrange(KEPT_PLACES), None), 1
+
     def route_write(self, job: Job) -> tuple[Server, Server] | None:
         """Uncacheable classes take the shortest way that can run them: the origin, or through a cache."""
         origin = self.fleet.origin
         if origin is None:
             return None
         name = job.ask.object or job.ask.id
-        fit = [origin] if self.set.direct else self.fit(self.fleet.in_order(name, self.fleet.caches), job.work)
-        ways = sorted((s for s in fit if self.in_scope(job, s)), key=lambda s: s.entry.server in job.avoid)
-        return (ways[0], origin) if ways else None
+        self.eject_silent()
+        fit: Iterable[Server] = [origin] if self.set.direct else self.fit(self.fleet.caches.of(name), job.work)
+        avoided = None
+        for server in fit:
+            if not self.in_scope(job, server):
+                continue
+            if server.entry.server not in job.avoid:
+                return server, origin
+            avoided = avoided or server
+        return (avoided, origin) if avoided is not None else None
 
     def on_request(self, ask: api.Request) -> None:
         cls = self.set.classes.get(ask.cls) or api.RequestClass(ask.cls, effect=api.Effect.UNSAFE)
@@ -282,7 +356,7 @@
         job.aim = cls.aim + cls.aim_stretch * job.send
         if not job.write:
             self.usual_send.add(job.send, SLOW_MEMORY)
-            self.count(ask, cls.parts, self.fleet.caches)
+            self.count(ask, cls.parts, len(self.fleet.caches))
         if ask.hand_over:
             self.hand_over(job)
             return
@@ -326,6 +400,8 @@
             self.filling[job.ask.id, len(job.tried)] = source.entry.server
         server.unheard_since = server.unheard_since if server.unheard else self.now
         server.unheard += 1
+        if server.unheard >= SILENT_SENDS:
+            self.fleet.awaited[server.entry.server] = server
         mode = FillMode.JOIN * self.set.joins | FillMode.RENEW * bool(job.cls.fresh)
         mode |= FillMode.HELD_ONLY * (job.held_only and source is not server)
         limit = max(1, job.deadline - self.now - 2 * ANSWER_EARLY)  # before the timer, to be learnt from
@@ -519,11 +595,12 @@
     def put_out(self, server: Server) -> None:
         server.ejected_until = self.now + self.spread(min(EJECT_MOST, EJECT_FIRST << min(server.ejections, 10)))
         server.ejections += 1
+        self.fleet.ejected[server.entry.server] = server
 
     def eject(self, server: Server, silent: bool = False) -> None:
         """Guard 3: out for a while, never over half of its peers; what a silent one has in hand is asked elsewhere."""
         peers = self.fleet.peers(server)
-        out = [p for p in peers if p is not server and self.now < p.ejected_until]
+        out = [p for p in self.fleet.out(peers, self.now) if p is not server]
         if 2 * (len(out) + 1) > len(peers) and not all(p.lost for p in peers):  # a lost location is no fault elsewhere
             better = min(out, key=lambda p: p.doubt, default=server)
             if better.doubt >= server.doubt:
--- /dev/null
+++ b/threadhill/decision/order.py
@@ -0,0 +1,149 @@
+"""The order in which an object prefers servers: its own, stable, and found without looking at all of them.
+
+Each object has an order of its own over the servers of one role. A server that leaves drops out and later ones move
+up; one that joins takes a place by chance; all others keep theirs. Up to `SMALL` servers this is rendezvous hashing:
+the order is sorted whole. With more, an object draws cells of a fixed table, one after another, and its order is that
+in which it hits occupied cells. A server's cell follows from its own number alone, so each change of one server touches
+that server's cell only, and the draws that a candidate takes do not grow with the number of servers. Every server has
+the same chance at each draw, so the first places are spread evenly, as with rendezvous hashing.
+
+Orders are kept for objects asked for lately, whole up to `SMALL` servers and else for their first `KEPT_PLACES` places:
+memory for an object does not grow with the number of servers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from threadhill.decision.hashing import mix, number_of
+
+if TYPE_CHECKING:
+    from threadhill.decision.state import Server
+
+SMALL = 256  # servers up to which the whole order is sorted; far above the caches of a usual fleet, so that no release
+# crosses it back and forth: crossing changes all orders once
+CELL_BITS = 12  # the table has 2 ** CELL_BITS cells: over 3,200 servers, the most that a fleet has
+CELL_DEPTH = 8  # servers of one cell that a draw can tell apart; a fuller cell is rare, and what is over comes last
+KEPT_PLACES = 32  # places of an order that are kept: more than an object has copies, or a request tries
+KEPT_ORDERS = 4_000  # orders kept, the least recently used goes first: of SMALL references at most, 8 MB in all
+DRAWS_FOR_EACH = 64  # draws for each place wanted, after which the rest of the servers follow in the table's order
+
+
+class ServerOrder:
+    """The servers of one role, and each object's order of them."""
+
+    def __init__(self) -> None:
+        self.servers: dict[int, Server] = {}
+        self._marks: dict[int, int] = {}  # server -> its hash
+        self._cells: dict[int, list[tuple[int, int]]] = {}  # cell -> (hash, server), sorted
+        self._names: dict[str, int] = {}  # hashes of names, a bounded memo
+        self._kept: dict[str, list[Server]] = {}  # object -> the first places of its order, a bounded memo
+        self.looked_at = 0  # cells drawn and servers sorted so far: the work of all orders, for tests and figures
+
+    @property
+    def small(self) -> bool:
+        """Whether orders are sorted whole."""
+        return len(self.servers) <= SMALL
+
+    def __len__(self) -> int:
+        return len(self.servers)
+
+    def __iter__(self) -> Iterator[Server]:
+        return iter(self.servers.values())
+
+    def __contains__(self, server: object) -> bool:
+        number = getattr(getattr(server, "entry", None), "server", None)
+        return self.servers.get(number) is server
+
+    # --- changes
+
+    def put(self, server: Server) -> None:
+        """Add a server, or replace what stands for the same one: orders hold the new one from now on."""
+        number = server.entry.server
+        if number not in self.servers:
+            mark = self._marks[number] = mix(number)
+            cell = self._cells.setdefault(self._cell(mark), [])
+            cell.append((mark, number))
+            cell.sort()
+        if self.servers.get(number) is not server:
+            self._kept = {}
+        self.servers[number] = server
+
+    def drop(self, number: int) -> None:
+        """Remove a server; one that is not there is no matter."""
+        if self.servers.pop(number, None) is None:
+            return
+        mark = self._marks.pop(number)
+        cell = self._cells[self._cell(mark)]
+        cell.remove((mark, number))
+        if not cell:
+            del self._cells[self._cell(mark)]
+        self._kept = {}
+
+    @staticmethod
+    def _cell(mark: int) -> int:
+        return mark >> (64 - CELL_BITS)
+
+    # --- orders
+
+    def of(self, name: str) -> Iterator[Server]:
+        """The servers in this name's own order, found as they are asked for."""
+        kept = self._kept.pop(name, None)
+        if kept is None:
+            kept = self._sorted(name) if self.small else []
+        self._kept[name] = kept  # used last
+        if len(self._kept) > KEPT_ORDERS:
+            del self._kept[next(iter(self._kept))]
+        yield from kept
+        if len(kept) == len(self.servers):
+            return
+        first_new = len(kept)
+        for place, server in enumerate(self._drawn(name)):
+            if place < first_new:
+                continue
+            if len(kept) == place < KEPT_PLACES:
+                kept.append(server)
+            yield server
+
+    def _number(self, name: str) -> int:
+        number = self._names.get(name)
+        if number is None:
+            number = number_of(name)
+            if len(self._names) >= KEPT_ORDERS:
+                del self._names[next(iter(self._names))]
+            self._names[name] = number
+        return number
+
+    def _sorted(self, name: str) -> list[Server]:
+        """Rendezvous hashing over all servers."""
+        number, marks = self._number(name), self._marks
+        self.looked_at += len(self.servers)
+        numbers = sorted(self.servers, key=lambda server: (mix(number ^ marks[server]), server))
+        return [self.servers[server] for server in numbers]
+
+    def _drawn(self, name: str) -> Iterator[Server]:
+        """Draw cells until every server has come, or the draws are spent; the rest follows in the table's order."""
+        draw, seen = self._number(name), set()
+        for _ in range(DRAWS_FOR_EACH * KEPT_PLACES):
+            draw = mix(draw)
+            self.looked_at += 1
+            cell = self._cells.get(self._cell(draw))
+            depth = draw & (CELL_DEPTH - 1)
+            if cell is None or depth >= len(cell):
+                continue
+            number = cell[depth][1]
+            if number not in seen:
+                seen.add(number)
+                yield self.servers[number]
+                if len(seen) == len(self.servers):
+                    return
+        for number, server in list(self.servers.items()):
+            if number not in seen:
+                yield server
+
+
+def in_order_of(name: str, servers: list[Server]) -> list[Server]:
+    """A few servers in this name's own order: rendezvous hashing over just these."""
+    number = number_of(name)
+    return sorted(servers, key=lambda s: (mix(number ^ mix(s.entry.server)), s.entry.server))
--- a/threadhill/decision/state.py
+++ b/threadhill/decision/state.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from threadhill.decision import interface as api
-from threadhill.decision.hashing import mix, number_of
+from threadhill.decision.order import ServerOrder
 
 LONGEST_GAP = 60  # empty intervals counted one by one; more change nothing
 LATELY = 4_000_000  # microseconds over which counts of what is out are averaged
 NEWS = 0.3  # least weight of the newest report: several answers bring the same one
 AGES = 8_000_000  # microseconds after which a report of load says nothing any more
 OFF = 4.0  # times that a report may be off what own traffic says: more than a crew that is told wrong, or a hot object
-MEMO_SIZE = 4_000  # names remembered with what was computed for them
 
 
 @dataclass(slots=True, eq=False)  # looked up in lists: comparing every field of each is slow
@@ -165,7 +165,7 @@
         del table[next(iter(table))]
 
 
-def take_hints(hints: api.Hints, when: int, rates: dict[str, Rate], caches: list[Server], size: int,
+def take_hints(hints: api.Hints, when: int, rates: dict[str, Rate], caches: Iterable[Server], size: int,
                ill: float) -> None:
     """Note what others report, as it was then. What is held against a cache moves half of the way to what the others
     hold, `ill` for one that all keep off: one that only this router met with bad luck comes back, and none is forgiven
@@ -183,58 +183,73 @@
 
 
 class Fleet:
-    """The servers of the list, with the look-ups that a request needs; made anew when the list changes."""
+    """The servers of the list, by what they are to this location. A change of one server costs that one."""
 
     def __init__(self, zone: str, parent_kind: str | None, origin_kind: str | None) -> None:
         self.zone, self.parent_kind, self.origin_kind = zone, parent_kind, origin_kind
-        self.numbers: dict[str, int] = {}  # hashed names, a bounded memo
+        self.servers: dict[int, Server] = {}
+        self.caches, self.parents = ServerOrder(), ServerOrder()
+        self.origin: Server | None = None
         self.most_caches = self.most_parents = 1  # the most that were ready at once
-        self.rebuild({})
+        self.ejected: dict[int, Server] = {}  # those put out for a while, or lately
+        self.awaited: dict[int, Server] = {}  # those with so many attempts out unheard that they may be silent
 
     def update(self, news: api.ListNews, room: float) -> None:
         """Take list news. One that restarted is a new server; a new one starts with this room."""
-        servers = self.servers
         if news.kind is not api.ListKind.CHANGES:
             named = {entry.server for entry in news.entries}
-            servers = {number: s for number, s in servers.items() if number in named}
+            for number in [number for number in self.servers if number not in named]:
+                self._remove(number)
         for entry in news.entries:
-            known = servers.get(entry.server)
+            known = self.servers.get(entry.server)
             if entry.state is api.State.GONE:
-                servers.pop(entry.server, None)
+                self._remove(entry.server)
             elif known is None or known.entry.since != entry.since:
-                servers[entry.server] = Server(entry, room)
-            else:
+                self._remove(entry.server)
+                self.servers[entry.server] = Server(entry, room)
+                self._place(self.servers[entry.server])
+            elif known.entry != entry:
+                self._displace(known)
                 known.entry = entry
-        self.rebuild(servers)
-
-    def rebuild(self, servers: dict[int, Server]) -> None:
-        """Take these servers; sort the ready ones by what they are to this location."""
-        self.servers = servers
-        ready = [s for s in servers.values() if s.entry.state is api.State.READY]
-        above = (self.parent_kind, self.origin_kind)
-        self.caches = [s for s in ready if s.entry.zone == self.zone and s.entry.kind not in above]
-        self.parents = [s for s in ready if s.entry.kind == self.parent_kind]
-        self.origin = next((s for s in ready if s.entry.kind == self.origin_kind), None)
+                self._place(known)
         self.most_caches = max(self.most_caches, len(self.caches))
         self.most_parents = max(self.most_parents, len(self.parents))
-        self.orders: dict[tuple[str, bool], list[Server]] = {}  # of all caches or parents, a bounded memo
-        self.marks = {s.entry.server: mix(s.entry.server) for s in ready}
 
-    def peers(self, server: Server) -> list[Server]:
+    def _remove(self, number: int) -> None:
+        server = self.servers.pop(number, None)
+        if server is not None:
+            self._displace(server)
+            self.ejected.pop(number, None)
+            self.awaited.pop(number, None)
+
+    def _place(self, server: Server) -> None:
+        """Let a server that is ready be found by its role."""
+        entry = server.entry
+        if entry.state is not api.State.READY:
+            return
+        if entry.kind == self.parent_kind:
+            self.parents.put(server)
+        elif entry.kind == self.origin_kind:
+            self.origin = self.origin or server
+        elif entry.zone == self.zone:
+            self.caches.put(server)
+
+    def _displace(self, server: Server) -> None:
+        number = server.entry.server
+        if server in self.parents:
+            self.parents.drop(number)
+        if server in self.caches:
+            self.caches.drop(number)
+        if server is self.origin:
+            self.origin = None
+            others = (s for s in self.servers.values() if s is not server and s.entry.state is api.State.READY)
+            self.origin = next((s for s in others if s.entry.kind == self.origin_kind), None)
+
+    def peers(self, server: Server) -> ServerOrder:
         """The ready servers that do what this one does for this location."""
         return self.parents if server.entry.kind == self.parent_kind else self.caches
 
-    def in_order(self, name: str, servers: list[Server]) -> list[Server]:
-        """Rendezvous hashing: the name's own order of these servers."""
-        whole = servers is self.caches or servers is self.parents
-        key = (name, servers is self.caches)
-        if whole and key in self.orders:
-            return self.orders[key]
-        number = self.numbers.get(name)
-        if number is None:
-            number = number_of(name)
-            remember(self.numbers, name, number, MEMO_SIZE)
-        order = sorted(servers, key=lambda s: (mix(number ^ self.marks[s.entry.server]), s.entry.server))
-        if whole:
-            remember(self.orders, key, order, MEMO_SIZE)
-        return order
+    def out(self, peers: ServerOrder, now: int) -> list[Server]:
+        """Of these, the ones that are ejected now; those that are back are forgotten."""
+        self.ejected = {number: s for number, s in self.ejected.items() if s.ejected_until > now}
+        return [s for s in self.ejected.values() if s in peers]
--- a/threadhill/knowledge/report.py
+++ b/threadhill/knowledge/report.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from itertools import islice
 from typing import Any
 
 from threadhill.decision.choice import INTERVAL, Router
@@ -35,7 +36,7 @@
             own = rate.rate if not rate.first else rate.count
             if own >= LEAST:
                 found.append((round(own, 3), name))
-        caches = self.router.fleet.caches[:SERVERS]
+        caches = list(islice(self.router.fleet.caches, SERVERS))
         return {"n": self.number, "zone": self.router.set.zone,
                 "objects": [[name, rate] for rate, name in heapq.nlargest(OBJECTS, found)],
                 "caches": [[s.entry.server, round(s.open, 1), int(now < s.ejected_until or s.ejections > 0)]
