Take a long list of servers a slice at a time, and only what changed of one told again

Cause: Feed.parse read and applied a whole list of 3,200 in one turn of the loop (72 ms), whether or not it had changed. The number counts once all of it is applied.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -29,6 +29,7 @@
 import sys
 import tempfile
 import time
+from contextlib import suppress
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
@@ -89,7 +90,7 @@
                 if words[0] == "do":
                     await reader.readexactly(int(words[3]) + 2)
                     loop.call_later(ANSWER_S, answer, words[1])
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -109,16 +110,19 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readline()
         self.writers.append(writer)
-        while not writer.is_closing():
-            writer.write(b"%d\n" % self.pos)
-            await asyncio.sleep(BEAT_S)
+        with suppress(asyncio.CancelledError):  # the run is over
+            while not writer.is_closing():
+                writer.write(b"%d\n" % self.pos)
+                await asyncio.sleep(BEAT_S)
 
     def event(self) -> dict[str, Any]:
         return {"pos": self.pos, "hosts": {"revision": self.pos, "complete": True, "members": self.members}}
 
     def tell_all(self) -> None:
-        """Tell the whole list anew."""
+        """Tell the whole list anew, with something of every member changed."""
         self.pos += 1
+        for told in self.members:
+            told["size"] += 1
         raw = json.dumps(self.event()).encode() + b"\n"
         self.sent += len(raw)
         for writer in self.writers:
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -10,7 +10,7 @@
 import orjson
 
 from threadhill.decision import interface as api
-from threadhill.net.journal import Event, read_event
+from threadhill.net.journal_events import Event, read_event
 from threadhill.net.lines import WIRE, Limits
 from threadhill.settings import Malformed, address, mapping, number, read_settings, sequence, text, whole
 
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -3,21 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from threadhill.core.engine import Engine
 from threadhill.core.stamps import StampAges
-from threadhill.core.tenants import Tenant
 from threadhill.decision import interface as api
 from threadhill.decision.hashing import number_of
-from threadhill.documents import Invalid, read_tenants
+from threadhill.net.journal_events import SLICE, Event, KnownMembers, Member, read_event_steps, server_number
 from threadhill.net.lines import CacheServers
 from threadhill.net.stream import Stream
-from threadhill.settings import Malformed, address, mapping, must_whole, number, sequence, text, whole
+from threadhill.settings import Malformed, must_whole
 
 if TYPE_CHECKING:
     from threadhill.knowledge.proxy import Knowledge
@@ -29,105 +31,13 @@
 CONNECT = 0.5  # seconds that a connection may take to come up
 AGAIN = 50_000  # microseconds between tries while none comes up, doubled for each that tells nothing new
 AGAIN_MOST = 400_000  # at most: what was missed counts as told 2 s after a break
+TURN = 0.004  # seconds of the loop that events may take at once
 REPORT = 1_000_000  # microseconds between reports, where nothing new was applied
 REPORTED = 500  # servers that one report names at most
-UNUSABLE_START = 1  # Unix microsecond that stands for a start that is not told in a usable form
 HOLDS = 100  # servers, and tenants, of one line of what a proxy says that it holds
 LATER_MOST = 5_000_000  # microseconds that a service may tell a proxy to stay away
 TOLD_BY = 7_000_000  # microseconds after which whatever the service has to tell counts as told, as the protocol has it
 DOUBTFUL = 500_000  # microseconds between two readings of a purge's age that are logged: a clock is off
-STATES = {"SERVING": api.State.READY, "DRAINING": api.State.DRAINING, "DELETED": api.State.GONE}
-
-
-def server_number(name: str) -> int:
-    """An id as the module's number, the same at every proxy: `s-` and hex digits are the number itself."""
-    if name.startswith("s-") and len(name) == 10:
-        try:
-            return int(name[2:], 16)
-        except ValueError:
-            pass
-    return number_of(name) & 0xFFFFFFFF
-
-
-@dataclass(frozen=True, slots=True)
-class Member:
-    """One server of a list, with its id and, unless it is gone, its address."""
-
-    entry: api.Entry
-    name: str
-    where: tuple[str, int] | None
-
-
-@dataclass(frozen=True, slots=True)
-class Event:
-    """One event, read whole before any of it is applied."""
-
-    pos: int
-    members: tuple[Member, ...] | None = None
-    complete: bool = False
-    revision: int = 0
-    object: str | None = None
-    group: int | None = None
-    stamp: int | None = None  # Unix microseconds of the purge, 0 where it is unusable; None: the event is none
-    tenants: tuple[Tenant, ...] | None = None  # an addition of ours: tenants that there are from now on
-    tenants_gone: frozenset[str] = frozenset()
-
-
-def read_member(raw: Any) -> Member:
-    raw = mapping(raw, "a member")
-    name = text(raw.get("id"), "id")
-    if not name or set(name) & set(" ,=\r\n"):  # it goes into cache servers' lines
-        raise Malformed(f"not an id: {name[:60]!r}")
-    state = STATES.get(text(raw.get("phase"), "phase"), api.State.GONE)
-    where = address(raw["host_port"], "host_port") if raw.get("host_port") else None
-    if where is None and state is api.State.READY:
-        raise Malformed("a serving member has no address")
-    entry = api.Entry(server_number(name), state, raw.get("locality") or "", raw.get("flavor") or "",
-                      whole(raw.get("cell"), "cell"), number(raw.get("size"), "size"),
-                      read_start(raw.get("up_since_ms")))
-    return Member(entry, name, where)
-
-
-def read_start(raw: Any) -> int:
-    """`up_since_ms` as Unix microseconds. What is no time is read as a start at a time that cannot be, so that the
-    server is taken for one that has just started."""
-    try:
-        return max(UNUSABLE_START, whole(raw, "up_since_ms") * 1_000) if raw else 0
-    except Malformed:
-        return UNUSABLE_START
-
-
-def read_stamp(raw: Any) -> int:
-    """A purge's `stamp` as Unix microseconds; 0 for what is no time, so that it is taken for one of now."""
-    try:
-        return max(0, whole(raw, "stamp") * 1_000)
-    except Malformed:
-        return 0
-
-
-def read_event(raw: Any) -> Event:
-    raw = mapping(raw, "an event")
-    pos, hosts, expire = must_whole(raw.get("pos"), "pos"), raw.get("hosts"), raw.get("expire")
-    members, complete, revision = None, False, 0
-    if hosts is not None:
-        hosts = mapping(hosts, "hosts")
-        members = tuple(read_member(member) for member in sequence(hosts.get("members"), "members"))
-        complete, revision = bool(hosts.get("complete")), whole(hosts.get("revision"), "revision")
-    tenants, gone = None, frozenset()
-    if raw.get("tenants") is not None:
-        told = mapping(raw["tenants"], "tenants")
-        try:
-            tenants = tuple(read_tenants(sequence(told.get("set"), "tenants.set")))
-        except Invalid as error:
-            raise Malformed(str(error)) from None
-        gone = frozenset(text(name, "tenants.gone") for name in sequence(told.get("gone"), "tenants.gone"))
-        complete = complete or bool(told.get("complete"))
-    if expire is None:
-        return Event(pos, members, complete, revision, tenants=tenants, tenants_gone=gone)
-    expire = mapping(expire, "expire")
-    name, group = expire.get("name"), expire.get("set")
-    return Event(pos, members, complete, revision, name if isinstance(name, str) else None,
-                 None if group is None else whole(group, "set"), read_stamp(expire.get("stamp")))
 
 
 class Journal:
@@ -152,6 +62,8 @@
         self._gap = -1  # the last number before a gap that was asked for again
         self._wait = AGAIN
         self._listed: set[int] = set()
+        self._members: dict[int, Member] = {}  # of the list, as they were applied
+        self.known_members = KnownMembers()
         self._task: asyncio.Task[None] | None = None
         self._redial: tuple[int, int] | None = None
         self._watched = False
@@ -159,12 +71,17 @@
         self._later = 0  # microseconds that the service told this one to stay away
 
     def apply(self, event: Event) -> None:
-        """One event; those up to the last number were applied before."""
+        """One event, at once; those up to the last number were applied before."""
+        for _ in self._apply_steps(event):
+            pass
+
+    def _apply_steps(self, event: Event) -> Iterator[None]:
+        """One event, a slice of its members at a time. Its number counts as applied once all of it is."""
         if event.pos <= self.pos:
             return
         self._hear_stamps(event)
         if event.members is not None:
-            self._hosts(event, first=not self._listed)
+            yield from self._host_steps(event, first=not self._listed)
         age = self._purge(event) if event.stamp is not None else None
         if event.tenants is not None:
             self.engine.tenants.change(list(event.tenants), set(event.tenants_gone), event.complete)
@@ -227,24 +144,48 @@
         if first:
             self.pos = max(self.pos, pos)
 
-    def _hosts(self, event: Event, first: bool) -> None:
+    def _host_steps(self, event: Event, first: bool) -> Iterator[None]:
+        """The members of an event. A whole list that was told again brings what changed, and who is not named any
+        more; the module hears of a short one at once and of a long one in slices, drains and new ones as they come."""
         members = event.members or ()
-        entries = [self._started(member.entry) for member in members]
         whole_list = event.complete or first
+        if whole_list:
+            self.known_members.keep({member.name for member in members})
+        changed = [member for member in members if self._members.get(member.entry.server) is not member]
+        if len(changed) <= SLICE:
+            self._tell(changed, self._unnamed(members) if whole_list else [], whole_list, event.revision, members)
+            return
+        for start in range(0, len(changed), SLICE):
+            self._tell(changed[start : start + SLICE], [], False, event.revision, members)
+            yield
+        if whole_list:
+            self._tell([], self._unnamed(members), False, event.revision, members)
+
+    def _unnamed(self, members: Sequence[Member]) -> list[api.Entry]:
+        """Who is listed and not named here: they have gone."""
+        named = {member.entry.server for member in members}
+        return [api.Entry(number, api.State.GONE) for number in sorted(self._listed - named)]
+
+    def _tell(self, members: Sequence[Member], gone: list[api.Entry], whole_list: bool, revision: int,
+              all_members: Sequence[Member]) -> None:
+        """Tell the module and the connections of these members, and of those that have gone."""
         for member in members:
             if member.entry.state is api.State.READY and member.where is not None:
                 self.caches.known(member.entry.server, member.name, *member.where)
-        named = {entry.server for entry in entries}
-        if whole_list:  # who is not named any more has gone
-            for number_ in sorted(self._listed - named):
-                entries.append(api.Entry(number_, api.State.GONE))
-                self._starts.pop(number_, None)
-            self._listed = set()
-        self._listed |= {e.server for e in entries if e.state is not api.State.GONE}
-        self._listed -= {e.server for e in entries if e.state is api.State.GONE}
+            if member.entry.state is api.State.GONE:
+                self._members.pop(member.entry.server, None)
+            else:
+                self._members[member.entry.server] = member
+        for entry in gone:
+            self._starts.pop(entry.server, None)
+            self._members.pop(entry.server, None)
+        told = all_members if whole_list else members
+        entries = [self._started(member.entry) for member in told] + gone
+        self._listed |= {entry.server for entry in entries if entry.state is not api.State.GONE}
+        self._listed -= {entry.server for entry in entries if entry.state is api.State.GONE}
         kind = api.ListKind.FULL if whole_list else api.ListKind.CHANGES
-        told = tuple(entries) if self.recovery is None else self.recovery.screen(tuple(entries))
-        self.engine.listed(api.ListNews(kind, told, event.revision))
+        news = tuple(entries) if self.recovery is None else self.recovery.screen(tuple(entries))
+        self.engine.listed(api.ListNews(kind, news, revision))
         if self.recovery is not None:
             self.recovery.listed()
 
@@ -355,8 +296,8 @@
             self.engine.stats.count("journal", "purges may be missing" if missing else "up to date again")
             self.engine.unsure(TOLD_BY if missing else 0)
 
-    def told(self, line: bytes) -> None:
-        """One line of the service; Malformed or ValueError where the connection is of no more use."""
+    def told(self, line: bytes) -> Iterator[None]:
+        """One line of the service, a slice at a time; Malformed or ValueError where the connection is of no use."""
         self.heard = self.engine.clock.now()
         value = orjson.loads(line)
         if isinstance(value, int):
@@ -376,7 +317,7 @@
             return
         if isinstance(value, dict) and self.recovery is not None and self._of_recovery(value):
             return
-        event = read_event(value)
+        event = yield from read_event_steps(value, self.known_members)
         if event.pos > self.pos + 1 and self._gap != self.pos:
             self._gap = self.pos
             raise Malformed(f"{event.pos} follows {self.pos}")  # what lies between is asked for, once
@@ -384,7 +325,7 @@
             self._skip_to(event.pos)
         if event.pos > self.pos:
             self._wait = AGAIN
-        self.apply(event)
+        yield from self._apply_steps(event)
 
     def _skip_to(self, pos: int) -> None:
         """The service does not have what lies between, though it was asked for it: any object may have been purged."""
@@ -456,6 +397,9 @@
         super().__init__(journal.engine, journal.line, 64 << 10)
         self.journal = journal
         self.since = 0
+        self._lines: deque[bytes] = deque()  # that came and were not taken yet
+        self._steps: Iterator[None] | None = None  # the rest of the line that is being taken
+        self._turn: asyncio.Handle | None = None  # when it goes on
 
     def opened(self) -> None:
         if self.journal.dialling is not self:  # given up or left while it came up
@@ -472,20 +416,48 @@
             self.journal._regularly(self)
 
     def ended(self) -> None:
+        if self._turn is not None:
+            self._turn.cancel()
+        self._lines.clear()  # what was not applied is asked for again
+        self._steps = None
         self.journal.lost(self)
 
     def parse(self) -> None:
         data = self.inbound.peek(len(self.inbound))
         done = data.rfind(b"\n") + 1
         self.inbound.skip(done)
+        self._lines.extend(data[:done].splitlines())
+        if self._turn is None:
+            self._work()
+
+    def _work(self) -> None:
+        """Take lines for a while; the rest of them, or of a long one, has its turn after other work."""
+        self._turn = None
         before = self.journal.pos
-        for line in data[:done].splitlines():
-            try:
-                self.journal.told(line)
-            except (ValueError, Malformed) as error:
-                self.journal.log(f"journal: {error}")
-                self.journal.engine.stats.count("malformed", "journal")
-                self.abort()
-                return
+        end = time.monotonic() + TURN
+        try:
+            while self._lines or self._steps is not None:
+                if self.ending:
+                    return
+                if self._steps is None:
+                    self._steps = self.journal.told(self._lines.popleft())
+                if next(self._steps, self) is self:
+                    self._steps = None
+                if time.monotonic() > end:
+                    self._turn = asyncio.get_running_loop().call_soon(self._work)
+                    break
+        except (ValueError, Malformed) as error:
+            self.journal.log(f"journal: {error}")
+            self.journal.engine.stats.count("malformed", "journal")
+            self.abort()
+            return
+        except Exception:
+            self.fault(traceback.format_exc())
+            self.abort()
+            return
         if self.journal.pos != before:
             self.journal.say()
+
+    def fault(self, trace: str) -> None:
+        self.journal.engine.stats.count("fault", "journal")
+        self.journal.log(f"journal: {trace}")
