--- /dev/null
+++ b/tests/faults/test_beyond.py
@@ -0,0 +1,208 @@
+"""Trouble beyond the bench's days, as the standing page lists it, on the running program or on module instances."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.faults.world import FaultWorld, hold, play, unix_ms
+from tests.script import MS, SECOND, Script, cache
+from tests.world import OBJECT, SETTINGS, Box, Journal, until
+from threadhill.decision import interface as api
+
+QUIET = 20 * 60 * SECOND
+
+
+def silent(ask: dict[str, str]) -> None:
+    """A server that says nothing."""
+
+
+@pytest.mark.parametrize("gap_s", [0.0, 0.05, 0.3])
+def test_reloads_in_a_row_end_with_the_last_ones_discovery_and_miss_nothing(tmp_path: Path, gap_s: float) -> None:
+    async def scene(w: FaultWorld) -> None:
+        services = [Journal() for _ in range(5)]
+        for service in services:
+            await service.start()
+            service.events = list(w.journal.events)
+        for service in services:
+            w.configure(journal=f"127.0.0.1:{service.port}")
+            w.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(gap_s)
+        last = services[-1]
+        await until(lambda: last.tails, "the last service to be asked")
+        last.add({"hosts": {"revision": 2, "members": [w.caches[0].member("DRAINING")]}})
+        await until(lambda: w.counted("journal", "events") == 2, "the drain")
+        client = await w.client()
+        for n in range(12):
+            assert (await client.get(obj=f"{n:016x}"))[0] == "200"
+        assert not w.caches[0].asked
+        for service in services:
+            service.server.close()
+            service.reset()
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("budget", [1, 5, 20, 50])
+def test_requests_with_little_time_left_are_answered_and_cost_the_others_nothing(tmp_path: Path, budget: int) -> None:
+    """Servers may drop them without a word; that is no sign of trouble at these servers."""
+
+    async def scene(w: FaultWorld) -> None:
+        def drops_the_late(ask: dict[str, str]) -> Any:
+            return None if int(ask["max"]) <= 50 else Box.serve_it(ask)
+
+        for box in w.boxes:
+            box.behave = drops_the_late
+        client = await w.client()
+        tags = []
+        for n in range(60):
+            tags.append(client.ask(budget=budget, obj=f"{n:016x}"))
+            await asyncio.sleep(0.03)
+        for tag in tags:
+            assert (await client.answer(tag))[0] == "503"
+        assert not client.twice and (await w.figures())["out_of_rotation"] == 0
+        assert [(await client.get(obj=f"{n:016x}"))[0] for n in range(40)] == ["200"] * 40
+
+    play(tmp_path, scene, management=True)
+
+
+@pytest.mark.parametrize("deadline_ms", [300, 3_000, 8_000])
+def test_all_is_answered_though_servers_hang_through_the_whole_of_a_shutdown(tmp_path: Path, deadline_ms: int) -> None:
+    """And the process has ended before SIGKILL may come: the longest deadline, 3 s at most, and 0.7 s."""
+
+    async def scene(w: FaultWorld) -> None:
+        for box in w.boxes:
+            box.behave = silent
+        client = await w.client()
+        tags = [client.ask(cls, budget=deadline_ms, obj=f"{n:016x}", token=f"{n:08x}")
+                for n in range(10) for cls in ("art-pages", "license-buy")]
+        await until(lambda: len(w.asked()) >= 10, "requests to be sent on")
+        began = time.monotonic()
+        w.process.send_signal(signal.SIGTERM)
+        for n in range(10):  # clients go on sending while they may
+            tags.append(client.ask(budget=deadline_ms, obj=f"{n:016x}"))
+            await asyncio.sleep(0.02)
+        for tag in tags:
+            assert (await client.answer(tag))[0] in ("503", "500")
+        assert await asyncio.wait_for(w.process.wait(), 20) == 0
+        # By the clock 3.7 s at most; how late a busy machine is, is its own affair.
+        assert time.monotonic() - began < min(deadline_ms / 1e3, 3.0) + 0.7 + 1.5
+        assert not client.twice
+
+    classes = [cls | {"deadline": deadline_ms * 1_000} for cls in SETTINGS["profiles"]]
+    play(tmp_path, scene, settings={"profiles": classes})
+
+
+def test_discovery_that_is_slow_and_crowded_is_followed_all_the_same(tmp_path: Path) -> None:
+    """It resets some connections and says nothing on others for a while; nothing of what it tells then is missed."""
+
+    class Crowded(Journal):
+        met = 0
+
+        async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.met += 1
+            if self.met <= 3:
+                writer.transport.abort()
+                return
+            if self.met <= 5:
+                await asyncio.sleep(1.0)
+            await super().talk(reader, writer)
+
+    async def scene(w: FaultWorld) -> None:
+        other = Crowded()
+        await other.start()
+        other.events = list(w.journal.events)
+        w.configure(journal=f"127.0.0.1:{other.port}")
+        w.process.send_signal(signal.SIGHUP)
+        other.hosts(w.caches[0].member("DRAINING"))
+        await until(lambda: w.counted("journal", "events") == 2, "the drain")
+        client = await w.client()
+        for n in range(8):
+            assert (await client.get(obj=f"{n:016x}"))[0] == "200"
+        assert not w.caches[0].asked
+        other.server.close()
+        other.reset()
+
+    play(tmp_path, scene)
+
+
+def test_thirty_seconds_without_discovery_cost_no_service_and_end_with_all_that_was_missed(tmp_path: Path) -> None:
+    """Ten seconds of it here: what the length changes is the wait between tries alone, which is bounded."""
+
+    async def scene(w: FaultWorld) -> None:
+        w.journal.server.close()
+        w.journal.reset()
+        hold(w.boxes, unix_ms() - 400)
+        client = await w.client()
+        end = time.monotonic() + 10
+        while time.monotonic() < end:
+            assert (await client.get())[0] == "200"
+            await asyncio.sleep(0.1)
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        stamp = unix_ms()
+        w.journal.add({"expire": {"name": OBJECT, "stamp": stamp}})
+        w.journal.server = await asyncio.start_server(w.journal.serve, w.journal.host, w.journal.port)
+        began = time.monotonic()
+        await w.told()
+        assert time.monotonic() - began < 2.0  # what was missed counts as told so long after a break
+        for box in w.boxes:
+            box.asked.clear()
+        answers = [await client.get(n=n) for n in range(4)]
+        assert not w.caches[0].asked and not any(body.startswith(b"old") for _, _, body in answers)
+
+    play(tmp_path, scene)
+
+
+# --- after a long quiet time, on the module
+
+
+def quiet(script: Script) -> Script:
+    """Some traffic, then none for twenty minutes."""
+    for n in range(200):
+        script.serve(f"o{n % 20}")
+        script.wait(20 * MS)
+    script.wait(QUIET)
+    return script
+
+
+def test_a_server_that_hangs_after_a_quiet_time_is_avoided_as_soon_as_any_other_time() -> None:
+    script = quiet(Script())
+    home = script.serve("a").server
+    sent = []
+    for _ in range(80):
+        sent += [a for a in script.ask("a") if isinstance(a, api.Fetch)]
+        script.wait(50 * MS)
+        for one in [s for s in sent if s.server != home]:
+            script.end(one)
+            sent.remove(one)
+    late = [a for a in script.ask("a") if isinstance(a, api.Fetch)]
+    assert late and late[0].server != home
+
+
+def test_a_cold_server_after_a_quiet_time_gets_no_more_than_at_any_other_time() -> None:
+    """Guards against credit that was saved up while nothing was asked."""
+    shares = []
+    for prepare in (lambda script: script, quiet):
+        script = prepare(Script())
+        for n in range(400):
+            script.serve(f"w{n}")
+            script.wait(5 * MS)
+        script.list([cache(11, since=script.now)])
+        got = sum(script.serve(f"x{n}").server == 11 for n in range(300) if not script.wait(5 * MS))
+        shares.append(got)
+    assert shares[1] <= shares[0] * 1.5 + 3
+
+
+def test_purges_and_drains_after_a_quiet_time_hold_at_once() -> None:
+    script = quiet(Script())
+    script.give(api.Purge("a", None, 100 * MS))
+    script.list([cache(11, state=api.State.DRAINING)])
+    for _ in range(20):
+        (sent,) = script.ask("a")
+        assert 0 < sent.age <= 100 * MS and sent.server != 11
+        script.end(sent)
