Take no silence of a server from attempts that had no time for an answer

Cause: Router.attempt counted every attempt that ended unheard towards a server's silence, and Wire.doubt towards its connection's, however soon it was given up; three requests with some milliseconds left ejected a well server. Change: an attempt given up within twice the usual answer time (or half its class's deadline) says nothing of the server, one that was out under 0.1 s nothing of its connection.

--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -467,7 +467,7 @@
             server.hear(self.now, end.load.get("inflight"))
             server.open = max(0, server.open - end.weight)
             server.hits, server.busy = end.load.get("hits", server.hits), end.load.get("util", server.busy)
-            if end.outcome in api.OWES_NOTHING:
+            if end.outcome in api.OWES_NOTHING or self.had_no_time(end, job):
                 server.unheard = max(0, server.unheard - 1)
             elif end.outcome not in api.UNHEARD:
                 server.unheard, server.lost = 0, False
@@ -491,6 +491,16 @@
         else:
             self.finish(job)
 
+    def had_no_time(self, end: api.AttemptEnded, job: Job | None) -> bool:
+        """Whether an attempt was given up before a well server would have answered, so that its silence says nothing:
+        within twice the usual time, or half of its class's deadline where all have less time than that."""
+        if end.outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED):
+            return False
+        enough = 2 * self.usual_took.value + LATENCY
+        if job is not None and job.cls.deadline:
+            enough = min(enough, job.cls.deadline / 2)
+        return end.took < enough
+
     def clock(self, job: Job, end: api.AttemptEnded, server: Server, source: Server | None) -> None:
         """Guard 8: what an answer, or its absence, tells of the pace of an ageing or crowded server."""
         pace, when = server.pace
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -31,6 +31,7 @@
 NEW = 1_000_000  # microseconds for which a connection that was dialled for an attempt is taken for new
 CUT_MEMORY = 60_000_000  # microseconds for which it is remembered that idle connections were cut
 BORN_DIGITS = 15  # of a Unix millisecond at most
+LEAST_WAIT = 100_000  # microseconds: an attempt given up sooner says nothing of its connection
 STALL = 500_000  # microseconds in the middle of an answer after which the rest is no more waited for
 MODES = ((api.FillMode.JOIN, "collapse"), (api.FillMode.HELD_ONLY, "only-if-cached"),
          (api.FillMode.PARENT_KEEPS_NOT, "no-store-up"), (api.FillMode.RENEW, "refresh"))
@@ -476,7 +477,7 @@
         ran = wire.whole(sending.upto)
         if wire.open.pop(id, None) is None or wire.transport is None:
             return ran
-        if wire.heard < sending.at:
+        if wire.heard < sending.at and self.engine.clock.now() - sending.at >= LEAST_WAIT:
             wire.doubt(sending.at)
         if wire.suspect:  # what else is out here may wait; an idle connection knows no better
             wire.pool.close_idle(self.engine.clock.now() + 1)
