Let a control plane's time go on over its restarts by the monotonic clock

Cause: the control plane records when a drain or a warm-up began in its own time, and each process took that time from the wall clock at its start (core/clock.py): one an hour ahead confirmed both at once, one behind waited an hour. Change: control/clock_file.py keeps by what the clocks differ, for this start of the machine.

--- a/threadhill/control/server.py
+++ b/threadhill/control/server.py
@@ -19,6 +19,7 @@
 from threadhill.admin.http import HttpConnection
 from threadhill.control.adoption import Adoption
 from threadhill.control.api import ControlApi
+from threadhill.control.clock_file import continued_clock
 from threadhill.control.feed import Feed
 from threadhill.control.ledger import Ledger, Refused
 from threadhill.control.sqlite import Sqlite, keep_snapshot, open_or_set_aside
@@ -70,7 +71,7 @@
 
     def __init__(self, places: Places, log: Any) -> None:
         self.places, self.log = places, log
-        self.turns = Turns(Log(time.monotonic))
+        self.turns = Turns(Log(time.monotonic), continued_clock(places.data, log.warning))
         self.council: Council | None = None
         if places.members is not None:
             from threadhill.control.agreed import AgreedStore
--- a/threadhill/core/clock.py
+++ b/threadhill/core/clock.py
@@ -25,9 +25,16 @@
 class Clock:
     """Local microseconds: the Unix time of the start, and monotonic from there on."""
 
-    def __init__(self) -> None:
-        self._anchor = unix_now() - time.monotonic_ns() // 1_000
-        self._wall_offset = self._anchor
+    def __init__(self, anchor: int | None = None) -> None:
+        """`anchor`: microseconds that local time is ahead of the machine's monotonic clock; absent: as the wall clock
+        is now."""
+        self._wall_offset = unix_now() - time.monotonic_ns() // 1_000
+        self._anchor = self._wall_offset if anchor is None else anchor
+
+    @property
+    def anchor(self) -> int:
+        """Microseconds that local time is ahead of the machine's monotonic clock."""
+        return self._anchor
 
     def now(self) -> int:
         """Local microseconds."""
--- a/threadhill/net/turns.py
+++ b/threadhill/net/turns.py
@@ -23,9 +23,9 @@
 class Turns:
     """The running loop's one timer stands for the head of all deadlines; faults are counted and logged."""
 
-    def __init__(self, log: Log) -> None:
+    def __init__(self, log: Log, clock: Clock | None = None) -> None:
         self.loop = asyncio.get_running_loop()
-        self.clock, self.stats, self.log = Clock(), Stats(), log
+        self.clock, self.stats, self.log = clock or Clock(), Stats(), log
         self._timer: asyncio.TimerHandle | None = None
         self.deadlines = Deadlines(self._arm, self._fault)
         self.loop.set_exception_handler(self._unhandled)
