Stop a child of a drill only once it has become a proxy: else its parent stops with it

Cause: test_sigint_ends_a_drill stopped any child of the drill; one between vfork and exec keeps its parent in state D, where SIGINT waits until the child goes on. Shown by a probe: a child stopped before exec, its parent in state D, not ended 1 s after SIGINT, ended as soon as the child went on. The busier the machine, the longer that window. Change: the test waits for 12 children that run a proxy, which is stricter, and stops one of these.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -119,10 +120,21 @@
                 found.add(int(stat.parent.name))
         return found
 
+    def programs(pid: int) -> set[int]:
+        """Its children that run a proxy."""
+        found = set()
+        for child in children(pid):
+            with suppress(OSError):
+                if b"\0serve\0" in Path(f"/proc/{child}/cmdline").read_bytes():
+                    found.add(child)
+        return found
+
     async def scene() -> None:
         process = await command(str(FILES[-1]), "--quiet")
-        await until(lambda: len(children(process.pid)) >= 12, "its proxies")
-        started = children(process.pid)
+        # Each of them has become the program: to stop a child between vfork and exec would stop its parent with it,
+        # which then can take no signal (it is in state D until the child goes on).
+        await until(lambda: len(programs(process.pid)) >= 12, "its proxies")
+        started = programs(process.pid)
         os.kill(next(iter(started)), signal.SIGSTOP)
         process.send_signal(signal.SIGINT)
         await asyncio.wait_for(process.communicate(), 60)
