--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -2,8 +2,8 @@
 
 The rule allows a server in slow start N + 2 * sqrt(N) + 2 requests of mean work in the window that the settings name
 (N + 3 * sqrt(N) + 3 where N is under 30), N being its capacity then, times the settings' multiple. Instances of the
-module share the traffic here, evenly or with a third of it at one of them; each hears of the start at a time of its own,
-and what comes from those that have not heard yet is not theirs to answer for.
+module share the traffic here, evenly or with a third of it at one of them; each hears of the start at a time of its
+own, and what comes from those that have not heard yet is not theirs to answer for.
 """
 
 from __future__ import annotations
