Force requests and news that come while the process stands still: max is too great

A process that is stopped for 0.9 s tells servers 3,000 ms of a request that came before that. The order of news and requests is up to the system then; here it favoured the news.

--- a/tests/faults/test_purges.py
+++ b/tests/faults/test_purges.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.faults.world import PURGE_SLACK_MS, FaultWorld, hold, play, unix_ms
+from tests.test_endings import stopped
 from tests.world import OBJECT, until
 
 STEPS = [-3600.0, -5.0, -0.6, 0.0, 0.6, 5.0, 3600.0]  # seconds by which the wall clock is off
@@ -104,3 +105,38 @@
         await until(lambda: w.counted("purged_copy", "turned down"), "it to be counted")
 
     play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("what", ["purge", "drain"])
+def test_what_was_told_while_the_process_stood_still_comes_before_what_was_asked(tmp_path: Path, what: str) -> None:
+    """A machine that is short of processors, or one that was paused, brings requests and news all at once. Whatever the
+    system names first, a request must be decided on with the news; and the time it waited is not the server's."""
+
+    async def scene(w: FaultWorld) -> None:
+        hold(w.boxes, unix_ms() - 400)
+        client = await w.client()
+        assert (await client.get(obj="00000000000000ff"))[0] == "200"
+        for box in w.boxes:
+            box.asked.clear()
+        w.journal.silent = True  # so that the requests are what the system has first
+        await asyncio.sleep(0.6)
+        with stopped(w):
+            tags = [client.ask(n=n) for n in range(8)] + [client.ask("license-buy", token="5c0f6e1a")]
+            await client.writer.drain()
+            await asyncio.sleep(0.1)  # they are in the socket, ahead of the news
+            told = unix_ms()
+            if what == "purge":
+                w.journal.add({"expire": {"name": OBJECT, "stamp": told}})
+            else:
+                w.journal.hosts(w.caches[0].member("DRAINING"))
+            w.journal.silent = False
+            await until(lambda: unix_ms() > told + PURGE_SLACK_MS + 200, "it to bind")
+        answers = [await client.answer(tag) for tag in tags]
+        assert "200" in [word for word, _, _ in answers]
+        if what == "purge":
+            assert not any(body.startswith(b"old") for _, _, body in answers)
+        else:
+            assert not w.caches[0].asked
+        assert all(int(ask["max"]) <= 3_000 - PURGE_SLACK_MS for ask in w.asked())
+
+    play(tmp_path, scene)
