Take requests that came in a hold-up of the loop behind the news, with the time they waited taken off

Cause: after a stop or a shortage of processors the loop reads requests and discovery's events all at once, in the system's order, and took each request for new (net/resp.py): max was too great by the hold-up, and a purge or drain told meanwhile could come behind the requests. An attempt that waited for its dial meanwhile was written just so. Change: net/lag.py tells a hold-up, requests are then taken a turn later, attempts are written a turn later.

--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -369,6 +369,10 @@
                  "members": members[n * HOLDS: (n + 1) * HOLDS], "tenants": tenants[n * HOLDS: (n + 1) * HOLDS]}
                 for n in range(of)]
 
+    def news_waits(self) -> bool:
+        """Whether lines have come that are not applied yet."""
+        return self.feed is not None and self.feed.busy
+
     def anew(self) -> None:
         """Leave the connection: what it still brings is old. Another is dialled at once."""
         if self.feed is not None:
@@ -422,6 +426,11 @@
         self._steps = None
         self.journal.lost(self)
 
+    @property
+    def busy(self) -> bool:
+        """Whether lines wait, or one is taken in part."""
+        return bool(self._lines) or self._steps is not None
+
     def parse(self) -> None:
         data = self.inbound.peek(len(self.inbound))
         done = data.rfind(b"\n") + 1
--- a/threadhill/net/lines.py
+++ b/threadhill/net/lines.py
@@ -243,6 +243,7 @@
         self.wires: list[Wire] = []
         self.waiting: deque[int] = deque()
         self.dialling = 0
+        self._put_off = False  # what waits is written in the next turn
         self.ready = True
         self.down = False  # the last dial failed, and none has come up since
         self.missed = False  # the last dial failed, whatever else is up
@@ -252,7 +253,13 @@
         self._drain()
 
     def _drain(self) -> None:
-        """Write what waits, in its order, as far as there are connections; dial for the rest."""
+        """Write what waits, in its order, as far as there are connections; dial for the rest. After a hold-up of the
+        loop in the next turn: what discovery told meanwhile comes first, and gives back what it concerns."""
+        if self.waiting and self.caches.held_up():
+            if not self._put_off:
+                self._put_off = True
+                asyncio.get_running_loop().call_soon(self._go_on)
+            return
         gate = self.caches.engine.gate
         if gate is not None and self.waiting and not gate.sends(self.caches.engine.clock.now()):
             self._give_back()
@@ -274,6 +281,10 @@
             while self.ready and self.dialling < len(self.waiting) and self._may_dial(order):
                 self.caches.dial(self)
 
+    def _go_on(self) -> None:
+        self._put_off = False
+        self._drain()
+
     def _good(self, order: Order) -> list[Wire]:
         """Connections that this attempt may use. What must not run twice keeps off those that may be cut as it is
         written, unless there is no dialling a new one either."""
@@ -399,6 +410,7 @@
 
     def __init__(self, engine: Engine, limits: Limits, log: Callable[[str], None]) -> None:
         self.engine, self.log = engine, log
+        self.held_up: Callable[[], int] = lambda: 0  # microseconds for which the loop was held up before this turn
         self.limit(limits)
         self.servers: dict[int, Pool] = {}  # of the list: who has gone is forgotten, its pool ends by itself
         self.sendings: dict[int, Sending] = {}
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -28,6 +28,7 @@
 QUIET_NEW = 300_000  # microseconds that a connection that said nothing yet has for its first request then
 QUIET_REFUSE = 1_500_000  # microseconds of a drain after which what comes on a connection that stays is sent away
 HELD = 16 << 10  # bytes of a connection that are read while nothing is taken off it
+NEWS_FIRST = 200_000  # microseconds for which requests wait for news that was read before them
 HEX = re.compile(r"[0-9a-f]{16}")
 WHOLE = re.compile(r"[0-9]{1,10}")
 SIZE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -139,6 +140,8 @@
         self.door = Door(engine, "client", most, lambda door: Client(self, door), log)
         self.all_outbound = all_outbound  # bytes that may wait for all clients together
         self.ready = False
+        self.held_up: Callable[[], int] = lambda: 0  # microseconds for which what is read now may have waited
+        self.news_waits: Callable[[], bool] = lambda: False  # whether news was read and not applied yet
         self.refusing = False  # nothing new is taken any more
         self.rids: set[str] = set()  # ids of the open requests
         self.spread = 0  # microseconds over which clients are let go of when this proxy leaves; 0: all at once
@@ -200,6 +203,7 @@
         self._reading = True
         self._held = False  # messages are taken again in another turn
         self._held_since = 0  # when the first of those that wait may have come; 0: none waits
+        self._news_until = 0  # until when those that wait let news come first
         self._looked = 0  # bytes of those that were looked at ahead
         self._withdrawn: set[int] = set()  # tags of requests among them that the client took back since
         self._faulty = 0  # turns on end with messages that could not be used
@@ -228,6 +232,17 @@
         if handle >= 0:
             self.front.engine.gone(handle)
 
+    def buffer_updated(self, count: int) -> None:
+        """After a hold-up of the loop requests are taken in the next turn: what discovery told meanwhile comes first,
+        and the time that they may have waited is off what they have left."""
+        waited = self.front.held_up()
+        if waited and not self._held and not self._closing:
+            self._hold(0)
+            now = self.front.engine.clock.now()
+            self._held_since, self._news_until = min(self._held_since, now - waited), now + NEWS_FIRST
+            self.front.engine.stats.count("loop", "held up")
+        super().buffer_updated(count)
+
     def parse(self) -> None:
         """A turn's share of the messages that have come. The rest waits, so that no flood on one connection holds up
         the others, and longer each time where some could not be used: who sends such at full speed is slowed down.
@@ -281,6 +296,9 @@
     def _resume(self) -> None:
         """Go on with what waits; not from within an answer. Nothing is begun for a client that has left meanwhile, nor
         for a request that it took back: both stand behind what waits."""
+        if self.front.engine.clock.now() < self._news_until and self.front.news_waits():
+            self.front.soon(self._resume)
+            return
         self._held = False
         if self._closing or self.transport is None:
             return
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -21,7 +21,9 @@
 from threadhill.core.engine import Engine
 from threadhill.log import Log
 from threadhill.net.door import Door
-from threadhill.net.journal import Journal, server_number
+from threadhill.net.journal import Journal
+from threadhill.net.journal_events import server_number
+from threadhill.net.lag import LoopLag
 from threadhill.net.lines import CacheServers, Limits
 from threadhill.net.resp import Platform
 from threadhill.net.turns import Turns
@@ -68,6 +70,8 @@
         self.journal = Journal(self.engine, self.caches, log, config.name, config.report, config.line)
         self.front = Platform(self.engine, config.settings.classes, config.clients, config.outbound,
                               self.loop.call_soon, log)
+        self.caches.held_up = self.front.held_up = LoopLag(self.loop, self.clock).held_up
+        self.front.news_waits = self.journal.news_waits
         self.done = asyncio.Event()
         self.dns: DnsFront | None = None
         self.overload: Control | None = None
