--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,79 @@
+"""Many proxies killed at once under load, and idle clients that hold all descriptors while discovery is away."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from contextlib import suppress
+from pathlib import Path
+
+from tests.test_proxy import play
+from tests.world import ROOT, World, crowd, until
+from threadhill.standin.ask import Client
+from threadhill.standin.swarm import Crowd, Swarm, settings_for
+
+KILLED = 24
+READY_S = 10.0  # within which nine in ten of the killed have to be ready
+
+
+async def ready(swarm: Swarm, name: str, began: float) -> float:
+    """Seconds until this proxy answers STATUS with `serving`."""
+    proxy = swarm.proxies[name]
+    while True:
+        with suppress(OSError):
+            client = await Client.connect(swarm.host, proxy.port)
+            word, _, _ = await client.send(b"STATUS")
+            client.close()
+            if word == "serving":
+                return time.monotonic() - began
+        await asyncio.sleep(0.02)
+
+
+def test_of_24_proxies_killed_at_once_under_load_nine_in_ten_are_soon_ready(tmp_path: Path) -> None:
+    async def scene() -> None:
+        swarm = Swarm(tmp_path, "127.0.0.1", settings_for(KILLED), ROOT)
+        try:
+            await swarm.serve(6)
+            names = [swarm.configure(f"p{n}").name for n in range(KILLED)]
+            await swarm.launch(names)
+            load = Crowd(swarm, 60.0)
+            await load.run(1.0)
+            for name in names:
+                swarm.proxies[name].signal(signal.SIGKILL)
+            for name in names:
+                await swarm.proxies[name].process.wait()
+            began = time.monotonic()
+            await swarm.launch(names)
+            times = sorted(await asyncio.gather(*(ready(swarm, name, began) for name in names)))
+            in_time = times[len(times) * 9 // 10]
+            print(f"{KILLED} killed at once: nine in ten ready within {in_time:.2f} s, all within {times[-1]:.2f} s")
+            assert in_time < READY_S
+            load.close()
+        finally:
+            await swarm.close()
+
+    asyncio.run(scene())
+
+
+def test_idle_clients_that_hold_all_descriptors_do_not_keep_discovery_out(tmp_path: Path) -> None:
+    """Discovery goes away and comes back while idle clients hold every descriptor that they may have."""
+
+    async def scene(w: World) -> None:
+        silent = await crowd(w.port, 120)
+        w.journal.server.close()
+        w.journal.reset()
+        await w.logged("journal: no connection")
+        silent += await crowd(w.port, 60)
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        w.journal.server = await asyncio.start_server(w.journal.serve, w.journal.host, w.journal.port)
+        await w.told()
+        client = await w.client()
+        for n in range(8):
+            assert (await client.get(obj=f"{n:016x}"))[0] == "200"
+        assert not w.caches[0].asked and w.process.returncode is None
+        await until(lambda: w.counted("fault", "loop") == 0 and w.counted("fault", "deadline") == 0, "no fault")
+        for _, writer in silent:
+            writer.close()
+
+    play(tmp_path, scene, sockets=160)
