--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -14,7 +14,7 @@
 from tests.test_proxy import play
 from tests.world import ROOT, SETTINGS, World, whole
 from threadhill.decision import interface as api
-from threadhill.net.lines import read_waited
+from threadhill.net.upstream_codec import read_waited
 from threadhill.settings import Malformed, read_settings
 
 # Three hubs and a branch; the class that runs at the origin first, with no key; notes told, sizes not.
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -25,9 +25,9 @@
 from threadhill.core.ports import Ask, Ended, Order
 from threadhill.decision import interface as api
 from threadhill.net.door import Guest
-from threadhill.net.lines import CacheServers, Limits, Pool, Wire
 from threadhill.net.resp import bulk
 from threadhill.net.stream import LINGER
+from threadhill.net.upstream import CacheServers, Limits, Pool, UpstreamConnection
 from threadhill.stats import Stats
 
 
@@ -233,9 +233,9 @@
         ask = Ask(cls="license-buy", rid=f"{attempt:016x}", object=f"o{attempt}", left=1_000_000, body=body)
         self.caches.send(attempt, Order(ask, 1, source, 1_000_000, **more))
 
-    def up(self, transport: Transport | None = None) -> tuple[Wire, Transport]:
+    def up(self, transport: Transport | None = None) -> tuple[UpstreamConnection, Transport]:
         """A dial comes up: the connection, and its other end."""
-        wire, transport = Wire(self.pool), transport or Transport()
+        wire, transport = UpstreamConnection(self.pool), transport or Transport()
         wire.connection_made(transport)
         self.pool.dialled(up=True)
         return wire, transport
@@ -560,7 +560,7 @@
 # --- connections to servers
 
 
-def give(wire: Wire, raw: bytes) -> None:
+def give(wire: UpstreamConnection, raw: bytes) -> None:
     """What the server sends, in one piece."""
     while raw:
         room = wire.get_buffer(-1)
@@ -592,7 +592,7 @@
     assert b"%016x" % 4 in below.up()[1].taken
     for one in (wire, other, last):
         one.connection_lost(None)  # a second time changes nothing
-    assert len(below.ends) == 3 and len(below.caches.sendings) == 1
+    assert len(below.ends) == 3 and len(below.caches.attempts) == 1
 
 
 def test_one_that_is_given_up_before_it_was_written_whole_cannot_have_run() -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -11,7 +11,7 @@
 from threadhill.core.ports import Answer, Ask, Final
 from threadhill.decision import interface as api
 from threadhill.log import BURST, Log
-from threadhill.net.lines import read_report
+from threadhill.net.upstream_codec import read_report
 from threadhill.stats import Stats
 
 
--- a/tests/test_lines.py
+++ b/tests/test_upstream.py
@@ -15,7 +15,7 @@
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.ports import Ask, Ended, Order
 from threadhill.decision import interface as api
-from threadhill.net.lines import CacheServers, Limits
+from threadhill.net.upstream import CacheServers, Limits
 from threadhill.stats import Stats
 
 # A proxy with one cache and no way past it: it keeps asking that, however silent it is.
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -11,7 +11,7 @@
 
 from threadhill.decision import interface as api
 from threadhill.net.journal_events import Event, read_event
-from threadhill.net.lines import WIRE, Limits
+from threadhill.net.upstream import CONNECTION_BYTES, Limits
 from threadhill.settings import Malformed, address, mapping, number, read_settings, sequence, text, whole
 
 PROGRAM = 26  # MB that the program takes by itself
@@ -70,7 +70,7 @@
                [read_event(event) for event in sequence(known.get("entries"), "known.entries")]),
         journal=address(raw["journal"], "journal") if raw.get("journal") else None,
         limits=Limits(
-            descriptors=max(16, min(sockets - clients - LEFT_FREE, int(spare * INBOUND_SHARE) // WIRE)),
+            descriptors=max(16, min(sockets - clients - LEFT_FREE, int(spare * INBOUND_SHARE) // CONNECTION_BYTES)),
             streams=whole(site.get("max-streams"), "max-streams") or 32,
             idle=whole(site.get("conn-idle"), "conn-idle") or 30_000_000,
             connect_timeout=whole(site.get("connect-timeout"), "connect-timeout") or 400_000,
--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -13,11 +13,12 @@
 from itertools import islice
 
 from threadhill.decision import interface as api
+from threadhill.decision.fleet import Fleet
 from threadhill.decision.freshness import EVERYTHING, Freshness, PurgeRecord
 from threadhill.decision.interface import FillMode, Note, Outcome
 from threadhill.decision.order import KEPT_PLACES, SMALL, in_order_of
 from threadhill.decision.running import RotatingSum
-from threadhill.decision.state import Fleet, Job, Mean, Rate, Server, Tally, faded, remember, take_hints
+from threadhill.decision.state import Job, Mean, Rate, Server, Tally, faded, remember, take_hints
 
 SECOND = INTERVAL = 1_000_000  # microseconds; a request rate is counted over as many, as the design page sets it
 RATE_WEIGHT = 0.3  # weight of the newest interval in a rate: a few seconds of memory
@@ -408,6 +409,7 @@
         spare = len(job.tried) + 1 < self.set.max_attempts and self.retries >= 1 and self.link < LINK_JAM
         if spare and job.cls.effect is api.Effect.SAFE:
             limit = min(limit, int(PATIENCE * job.aim))
+        job.limit = limit
         job.tried.append((server.entry.server, source.entry.server))
         job.out, job.late, job.sent_at = True, False, self.now
         heapq.heappush(self.due, (self.now + int(job.aim or job.ask.left) + 1, job.ask.id, len(job.tried) - 1))
@@ -493,13 +495,16 @@
 
     def had_no_time(self, end: api.AttemptEnded, job: Job | None) -> bool:
         """Whether an attempt was given up before a well server would have answered, so that its silence says nothing:
-        within twice the usual time, or half of its class's deadline where all have less time than that."""
+        it had less than twice the usual time, or than half of its class's deadline where all have less than that. What
+        it had is what it was allowed, as a busy machine gives up late."""
         if end.outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED):
             return False
-        enough = 2 * self.usual_took.value + LATENCY
-        if job is not None and job.cls.deadline:
+        enough = 2 * (self.usual_took.value + LATENCY)
+        if job is None:
+            return end.took < enough
+        if job.cls.deadline:
             enough = min(enough, job.cls.deadline / 2)
-        return end.took < enough
+        return min(end.took, job.limit) < enough
 
     def clock(self, job: Job, end: api.AttemptEnded, server: Server, source: Server | None) -> None:
         """Guard 8: what an answer, or its absence, tells of the pace of an ageing or crowded server."""
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -17,8 +17,8 @@
 from threadhill.decision import interface as api
 from threadhill.decision.hashing import number_of
 from threadhill.net.journal_events import SLICE, Event, KnownMembers, Member, read_event_steps, server_number
-from threadhill.net.lines import CacheServers
 from threadhill.net.stream import Stream
+from threadhill.net.upstream import CacheServers
 from threadhill.settings import Malformed, must_whole
 
 if TYPE_CHECKING:
--- a/threadhill/net/lines.py
+++ b/threadhill/net/upstream.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-import re
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -15,11 +14,22 @@
 from threadhill.decision.state import remember
 from threadhill.net.shortage import is_own_shortage
 from threadhill.net.stream import Stream
+from threadhill.net.upstream_codec import (
+    BODY,
+    ENDS,
+    HEAD,
+    NOTES,
+    AnswerLine,
+    read_answer,
+    read_born,
+    read_report,
+    read_waited,
+    write_cancel,
+    write_request,
+)
 
-HEAD = 1_024  # bytes of an answer's line at most
-BODY = 256 << 10  # of its body; objects have up to 240,000
 OUTBOUND = 256 << 10
-WIRE = 128 << 10  # bytes that a connection's rings come to, as most answers are far under the bound
+CONNECTION_BYTES = 128 << 10  # bytes that a connection's rings come to, as most answers are far under the bound
 IDLE_LEAST = 0.7  # part of the peer's idle time for which a connection is kept in any case
 IDLE_MARGIN = 2_500_000  # microseconds before the peer's close: a look a second here, and links up to 1.5 s late
 USED = 64  # ids given up on a connection after which it is closed
@@ -30,58 +40,8 @@
 CUT_AT_ONCE = 30_000  # microseconds within which a reset belongs to what was just written: a way there and back
 NEW = 1_000_000  # microseconds for which a connection that was dialled for an attempt is taken for new
 CUT_MEMORY = 60_000_000  # microseconds for which it is remembered that idle connections were cut
-BORN_DIGITS = 15  # of a Unix millisecond at most
 LEAST_WAIT = 100_000  # microseconds: an attempt given up sooner says nothing of its connection
 STALL = 500_000  # microseconds in the middle of an answer after which the rest is no more waited for
-MODES = ((api.FillMode.JOIN, "collapse"), (api.FillMode.HELD_ONLY, "only-if-cached"),
-         (api.FillMode.PARENT_KEEPS_NOT, "no-store-up"), (api.FillMode.RENEW, "refresh"))
-ENDS = {"ok": api.Outcome.SERVED, "current": api.Outcome.SERVED, "nothing": api.Outcome.MISS,
-        "refused": api.Outcome.REFUSED, "error": api.Outcome.ERROR, "stale": api.Outcome.UNSENT}
-# What an answer's `remark` says of the fill behind it; on a site that tells nothing it is absent.
-NOTES = {"local": api.Note.HIT, "pulled": api.Note.FILLED, "pulled_far": api.Note.FROM_ORIGIN,
-         "rode": api.Note.JOINED, "expired": api.Note.OLD, "turned_away": api.Note.SOURCE_REFUSED,
-         "cut_off": api.Note.SOURCE_FAILED, "not_there": api.Note.SOURCE_LACKS,
-         "no_place": api.Note.NO_FILL_PLACE, "far_fault": api.Note.ORIGIN_FAILED}
-# In the module's names, and what a figure can be at most; one beyond that, or none at all, would upset its averages.
-REPORT = {"inflight": ("inflight", 1e6), "rif": ("inflight", 1e6), "util": ("util", 1e3), "busy": ("util", 1e3),
-          "x1": ("link", 1e3), "x0": ("hits", 1.0)}
-FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,18})?([eE]-[0-9]{1,2})?")
-ANSWER = re.compile(rb"([!-~]{1,64}) ([a-z]{1,16}) ([!-~]{1,900}) ([0-9]{1,9})")
-
-
-def read_report(text: str) -> dict[str, float]:
-    """`inflight:7;util:0.61` in the module's names; what it does not know or cannot be is skipped."""
-    load = {}
-    for item in text.split(";"):
-        name, _, value = item.partition(":")
-        if name in REPORT and FIGURE.fullmatch(value) and float(value) <= REPORT[name][1]:
-            load[REPORT[name][0]] = float(value)
-    return load
-
-
-def read_waited(text: str) -> int:
-    """`waited`, milliseconds spent on the source, as microseconds; what is no such figure counts as nothing waited."""
-    return round(float(text) * 1_000) if FIGURE.fullmatch(text) else 0
-
-
-def read_born(text: str) -> int:
-    """`born`, Unix milliseconds, as microseconds; 0 for what is no such number."""
-    return int(text) * 1_000 if text.isascii() and text.isdigit() and len(text) <= BORN_DIGITS else 0
-
-
-def read_answer(line: bytes) -> tuple[str, str, dict[str, str], int] | None:
-    """Id, word, fields and length of an answer's line; None where it is none."""
-    match = ANSWER.fullmatch(line)
-    if match is None:
-        return None
-    id, word, raw, size = (group.decode("ascii") for group in match.groups())
-    pairs = [item.partition("=") for item in raw.split(",")] if raw != "-" else []
-    fields = {name: value for name, equals, value in pairs if equals and name}
-    if word not in ENDS or len(fields) < len(pairs) or int(size) > (BODY - 2 if word != "current" else 0):
-        return None
-    return id, word, fields, int(size)
-
-
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What the site and the machine allow; times in microseconds."""
@@ -94,18 +54,18 @@
 
 
 @dataclass(slots=True)
-class Sending:
+class PendingAttempt:
     """An attempt that waits for a connection or is out on one."""
 
     server: int
     order: Order
-    wire: Wire | None = None
+    connection: UpstreamConnection | None = None
     at: int = 0
     upto: int = 0  # bytes of the connection with which it ends
     due: tuple[int, int] | None = None  # the deadline of one that waits: then it must not begin any more
 
 
-class Wire(Stream):
+class UpstreamConnection(Stream):
     """One connection to a cache server, parent or the origin."""
 
     buffered = 0  # whether the transport is full tells what has left this process
@@ -120,7 +80,7 @@
         self.unheard = 0  # attempts that ran out of time one after another, with nothing come since they were sent
         self.doubted = 0  # when the last of them did
         self.heard = self.idle_since = pool.caches.engine.clock.now()
-        self.head: tuple[str, str, dict[str, str]] | None = None  # the line of the answer that is coming
+        self.head: AnswerLine | None = None  # the line of the answer that is coming
         self._line_since = 0  # when the line that is coming began; 0: none is
         self._unasked = 0  # answers on end that nobody asked for
         self.counted = False  # it came up, so its end frees its place
@@ -170,7 +130,7 @@
 
     def answering(self, id: str) -> bool:
         """Whether the answer under this id has begun to come."""
-        return self.head is not None and self.head[0] == id
+        return self.head is not None and self.head.id == id
 
     def doubt(self, sent: int) -> None:
         """An attempt sent then was given up, and nothing came since. The machine may have vanished, which no reset
@@ -198,15 +158,15 @@
                     self._broken("not an answer")
                     return
                 self.inbound.skip(end + 2)
-                self.head, self.wanted = answer[:3], answer[3] + 2
+                self.head, self.wanted = answer, answer.length + 2
             if len(self.inbound) < self.wanted:
                 return
             body = self.inbound.take(self.wanted)
             if body[-2:] != b"\r\n":
                 self._broken("a body does not end where it should")
                 return
-            (id, word, fields), self.head, self.wanted = self.head, None, 1
-            self._answer(id, word, fields, body[:-2])
+            answer, self.head, self.wanted = self.head, None, 1
+            self._answer(answer.id, answer.word, answer.fields, body[:-2])
 
     def _broken(self, why: str) -> None:
         self.pool.caches.engine.stats.count("malformed", "server")
@@ -221,7 +181,7 @@
             if self._unasked > DONE:
                 self._broken("it answers what was not asked")
             return
-        if word == "current" and self.pool.caches.sendings[attempt].order.ask.seen != fields.get("ver", ""):
+        if word == "current" and self.pool.caches.attempts[attempt].order.ask.seen != fields.get("ver", ""):
             self._broken("it calls current what was not named to it")  # the client would take its copy for good
             return
         del self.open[id]
@@ -240,7 +200,7 @@
 
     def __init__(self, caches: CacheServers, name: str, host: str, port: int) -> None:
         self.caches, self.name, self.host, self.port = caches, name, host, port
-        self.wires: list[Wire] = []
+        self.connections: list[UpstreamConnection] = []
         self.waiting: deque[int] = deque()
         self.dialling = 0
         self._put_off = False  # what waits is written in the next turn
@@ -265,19 +225,19 @@
             self._give_back()
             return
         while self.waiting:
-            sending = self.caches.sendings.get(self.waiting[0])
-            over = self.caches.overdue(sending) if sending is not None else None
+            pending = self.caches.attempts.get(self.waiting[0])
+            over = self.caches.overdue(pending) if pending is not None else None
             if over is not None:  # its timer's turn has not come yet
                 self.caches.ended(self.waiting.popleft(), Ended(over))
                 continue
-            wire = self._pick(sending.order) if sending is not None else None
-            if sending is not None and wire is None:
+            connection = self._pick(pending.order) if pending is not None else None
+            if pending is not None and connection is None:
                 break
             attempt = self.waiting.popleft()
-            if wire is not None and not self._write(wire, attempt):
+            if connection is not None and not self._write(connection, attempt):
                 self.waiting.appendleft(attempt)  # nothing of it was taken: it goes on the next connection
         if self.waiting:
-            order = self.caches.sendings[self.waiting[0]].order
+            order = self.caches.attempts[self.waiting[0]].order
             while self.ready and self.dialling < len(self.waiting) and self._may_dial(order):
                 self.caches.dial(self)
 
@@ -285,12 +245,12 @@
         self._put_off = False
         self._drain()
 
-    def _good(self, order: Order) -> list[Wire]:
+    def _good(self, order: Order) -> list[UpstreamConnection]:
         """Connections that this attempt may use. What must not run twice keeps off those that may be cut as it is
         written, unless there is no dialling a new one either."""
-        good = [wire for wire in self.wires if wire.usable]
+        good = [connection for connection in self.connections if connection.usable]
         if order.once and not self.missed and self.caches.held < self.caches.limits.descriptors:
-            return [wire for wire in good if wire.fresh()]
+            return [connection for connection in good if connection.fresh()]
         return good
 
     def _may_dial(self, order: Order) -> bool:
@@ -301,76 +261,79 @@
         some = len(good) + self.dialling
         if not some:
             return True
-        if self.dialling or any(not wire.slow and not wire.carries(order.ask.rid) for wire in good):
-            shared = sum(len(wire.open) for wire in good) + len(self.waiting)
+        if self.dialling or any(not connection.slow and not connection.carries(order.ask.rid) for connection in good):
+            shared = sum(len(connection.open) for connection in good) + len(self.waiting)
             if shared * HOLDS_UP < some * self.caches.limits.handshake:
                 return False
         return some < self.caches.pool_most and self.caches.held < self.caches.limits.descriptors
 
-    def _pick(self, order: Order) -> Wire | None:
+    def _pick(self, order: Order) -> UpstreamConnection | None:
         """An idle connection, the last used first; where no more may be dialled, the one with the fewest out."""
-        good = [wire for wire in self._good(order) if not wire.slow]
-        fit = [wire for wire in good if not wire.carries(order.ask.rid)]
-        idle = [wire for wire in fit if not wire.open]
+        good = [connection for connection in self._good(order) if not connection.slow]
+        fit = [connection for connection in good if not connection.carries(order.ask.rid)]
+        idle = [connection for connection in fit if not connection.open]
         if idle:
-            return max(idle, key=lambda wire: wire.idle_since)
+            return max(idle, key=lambda connection: connection.idle_since)
         if self._may_dial(order):
-            left = [wire for wire in self.wires if not wire.open]
-            if left and len(self.wires) + self.dialling >= self.caches.pool_most:
-                min(left, key=lambda wire: wire.idle_since).close()  # not fresh: it makes room for one that is
+            left = [connection for connection in self.connections if not connection.open]
+            if left and len(self.connections) + self.dialling >= self.caches.pool_most:
+                # It is not fresh, and makes room for one that is.
+                min(left, key=lambda connection: connection.idle_since).close()
             return None
         if good and not fit:  # all have carried this id: the one with the least on it makes room
-            spare = min(good, key=lambda wire: len(wire.open))
+            spare = min(good, key=lambda connection: len(connection.open))
             if not spare.open:
                 spare.close()
             return None
-        return min((wire for wire in fit if len(wire.open) < self.caches.streams),
-                   key=lambda wire: len(wire.open), default=None)
+        return min((connection for connection in fit if len(connection.open) < self.caches.streams),
+                   key=lambda connection: len(connection.open), default=None)
 
-    def _write(self, wire: Wire, attempt: int) -> bool:
+    def _write(self, connection: UpstreamConnection, attempt: int) -> bool:
         """Whether it is written: a connection that was reset meanwhile takes nothing, which is no fault of the
         server and no proof that the attempt ran."""
-        sending = self.caches.sendings[attempt]
-        body = sending.order.ask.body
-        if not wire.takes():  # the server reads nothing: what is written now would begin when its time is over
-            wire.suspect = True
+        pending = self.caches.attempts[attempt]
+        body = pending.order.ask.body
+        if not connection.takes():  # the server reads nothing: what is written now would begin when its time is over
+            connection.suspect = True
             return False
-        if not wire.write(self.caches.head(sending.order), body, b"\r\n"):
-            wire.suspect = True
+        order = pending.order
+        source = self.caches.servers[order.source].name if order.source != order.server else None
+        if not connection.write(write_request(order, source, self.caches.engine.clock.now()), body, b"\r\n"):
+            connection.suspect = True
             return False
-        sending.wire, sending.at, sending.upto = wire, self.caches.engine.clock.now(), wire.written
-        self.caches.engine.deadlines.drop(sending.due)
-        wire.open[sending.order.ask.rid] = attempt
-        self.caches.engine.stats.count("relayed", sending.order.ask.cls)
+        pending.connection, pending.at, pending.upto = connection, self.caches.engine.clock.now(), connection.written
+        self.caches.engine.deadlines.drop(pending.due)
+        connection.open[pending.order.ask.rid] = attempt
+        self.caches.engine.stats.count("relayed", pending.order.ask.cls)
         self.caches.engine.stats.count("bytes_out", "servers", len(body))
         return True
 
-    def opened(self, wire: Wire) -> None:
-        self.wires.append(wire)
-        wire.counted = True
+    def opened(self, connection: UpstreamConnection) -> None:
+        self.connections.append(connection)
+        connection.counted = True
         self.caches.engine.stats.count("connection", "opened")
-        wire.heard = wire.idle_since = self.caches.engine.clock.now()
+        connection.heard = connection.idle_since = self.caches.engine.clock.now()
         if not self.ready:  # the server drains or is gone since it was dialled
-            wire.close()
+            connection.close()
 
-    def done(self, wire: Wire) -> None:
+    def done(self, connection: UpstreamConnection) -> None:
         """A connection has room again: what waits longest takes it."""
-        wire.idle_since = self.caches.engine.clock.now()
+        connection.idle_since = self.caches.engine.clock.now()
         self._drain()
-        if not wire.open and (not self.ready or len(wire.used) > USED):
-            wire.close()
+        if not connection.open and (not self.ready or len(connection.used) > USED):
+            connection.close()
 
-    def lost(self, wire: Wire) -> None:
-        if wire in self.wires:
-            self.wires.remove(wire)
+    def lost(self, connection: UpstreamConnection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
             self.caches.held -= 1
         self.caches.engine.stats.count("connection", "closed")
-        attempts, wire.open = list(wire.open.values()), {}
-        if len(attempts) == 1 and attempts[0] in self.caches.sendings:
-            self.caches.cut(self.caches.sendings[attempts[0]].at, wire.heard)
+        attempts, connection.open = list(connection.open.values()), {}
+        if len(attempts) == 1 and attempts[0] in self.caches.attempts:
+            self.caches.cut(self.caches.attempts[attempts[0]].at, connection.heard)
         for attempt in attempts:  # what the server cannot have whole did not run
-            sending = self.caches.sendings.get(attempt)
-            ran = sending is None or wire.whole(sending.upto)
+            pending = self.caches.attempts.get(attempt)
+            ran = pending is None or connection.whole(pending.upto)
             self.caches.ended(attempt, Ended(api.Outcome.BROKEN if ran else api.Outcome.UNREACHED))
         self._drain()
 
@@ -385,8 +348,9 @@
         """A dial ended. Where it failed, what waits beyond the dials still out has no way to the server."""
         self.dialling -= 1
         self.missed = not up
-        self.down = not up and not any(wire.usable for wire in self.wires)
-        while not up and len(self.waiting) > self.dialling and not any(wire.usable for wire in self.wires):
+        self.down = not up and not any(connection.usable for connection in self.connections)
+        no_way = not up and not any(connection.usable for connection in self.connections)
+        while no_way and len(self.waiting) > self.dialling:
             self.caches.ended(self.waiting.popleft(), Ended(api.Outcome.UNREACHED))
         self._drain()
 
@@ -401,8 +365,8 @@
             self.caches.ended(self.waiting.popleft(), Ended(api.Outcome.UNSENT))
 
     def close_idle(self, before: int) -> None:
-        for wire in [w for w in self.wires if not w.open and w.idle_since < before]:
-            wire.close()
+        for connection in [w for w in self.connections if not w.open and w.idle_since < before]:
+            connection.close()
 
 
 class CacheServers:
@@ -413,7 +377,7 @@
         self.held_up: Callable[[], int] = lambda: 0  # microseconds for which the loop was held up before this turn
         self.limit(limits)
         self.servers: dict[int, Pool] = {}  # of the list: who has gone is forgotten, its pool ends by itself
-        self.sendings: dict[int, Sending] = {}
+        self.attempts: dict[int, PendingAttempt] = {}
         self._families: set[int] | None = None  # what `families` tells; every DNS query asks
         self.held = 0  # connections to servers and dials, those of retired pools too
         self._tasks: set[asyncio.Task[None]] = set()
@@ -462,47 +426,48 @@
         if server is None or source is None or not server.ready:
             self.engine.ended(attempt, Ended(api.Outcome.UNSENT))
             return
-        sending = self.sendings[attempt] = Sending(order.server, order)
+        pending = self.attempts[attempt] = PendingAttempt(order.server, order)
         server.send(attempt)
-        if order.until and sending.wire is None and attempt in self.sendings:
-            sending.due = self.engine.deadlines.add(order.until, lambda: self.ended(attempt, Ended(api.Outcome.UNSENT)))
+        if order.until and pending.connection is None and attempt in self.attempts:
+            pending.due = self.engine.deadlines.add(order.until, lambda: self.ended(attempt, Ended(api.Outcome.UNSENT)))
 
-    def overdue(self, sending: Sending) -> api.Outcome | None:
+    def overdue(self, pending: PendingAttempt) -> api.Outcome | None:
         """How one that still waits ends, if it must not begin any more; None: it may."""
-        now, order = self.engine.clock.now(), sending.order
+        now, order = self.engine.clock.now(), pending.order
         if 0 < order.until <= now:
             return api.Outcome.UNSENT
         return api.Outcome.UNREACHED if 0 < order.due <= now else None
 
-    def _leave(self, attempt: int) -> Sending | None:
+    def _leave(self, attempt: int) -> PendingAttempt | None:
         """The one way out of the table: what it held is given back once."""
-        sending = self.sendings.pop(attempt, None)
-        if sending is not None:
-            self.engine.deadlines.drop(sending.due)
-        return sending
+        pending = self.attempts.pop(attempt, None)
+        if pending is not None:
+            self.engine.deadlines.drop(pending.due)
+        return pending
 
     def drop(self, attempt: int) -> bool:
-        sending = self._leave(attempt)
-        if sending is None or sending.wire is None:
+        pending = self._leave(attempt)
+        if pending is None or pending.connection is None:
             return False
-        wire, id = sending.wire, sending.order.ask.rid
-        ran = wire.whole(sending.upto)
-        if wire.open.pop(id, None) is None or wire.transport is None:
+        connection, id = pending.connection, pending.order.ask.rid
+        ran = connection.whole(pending.upto)
+        if connection.open.pop(id, None) is None or connection.transport is None:
             return ran
-        if wire.heard < sending.at and self.engine.clock.now() - sending.at >= LEAST_WAIT:
-            wire.doubt(sending.at)
-        if wire.suspect:  # what else is out here may wait; an idle connection knows no better
-            wire.pool.close_idle(self.engine.clock.now() + 1)
-        if wire.stalled() or wire.suspect and not wire.open:
-            wire.abort()  # a stalled one is of no use to the others on it either: they may be asked again elsewhere
+        if connection.heard < pending.at and self.engine.clock.now() - pending.at >= LEAST_WAIT:
+            connection.doubt(pending.at)
+        if connection.suspect:  # what else is out here may wait; an idle connection knows no better
+            connection.pool.close_idle(self.engine.clock.now() + 1)
+        if connection.stalled() or connection.suspect and not connection.open:
+            # A stalled one is of no use to the others on it either: they may be asked again elsewhere.
+            connection.abort()
             return ran
-        wire.used.add(id)
-        if wire.answering(id):
-            head, now = wire.head, self.engine.clock.now()
-            self.engine.deadlines.add(now + STALL, lambda: wire.cut_short(head))
+        connection.used.add(id)
+        if connection.answering(id):
+            head, now = connection.head, self.engine.clock.now()
+            self.engine.deadlines.add(now + STALL, lambda: connection.cut_short(head))
         else:
-            wire.write(b"undo %s\r\n" % id.encode())
-        wire.pool.done(wire)
+            connection.write(write_cancel(id))
+        connection.pool.done(connection)
         return ran
 
     def listed(self, entries: list[api.Entry]) -> None:
@@ -516,18 +481,18 @@
                     self.servers[entry.server] = Pool(self, pool.name, pool.host, pool.port)
                 continue
             pool.retire()
-            for attempt, sending in list(self.sendings.items()):
-                if sending.wire is None and sending.order.source == entry.server:
+            for attempt, pending in list(self.attempts.items()):
+                if pending.connection is None and pending.order.source == entry.server:
                     self.ended(attempt, Ended(api.Outcome.UNSENT))
             if entry.state is api.State.GONE:
                 del self.servers[entry.server]
 
     def purged(self, object: str | None, group: int | None) -> None:
         """What still waits for a connection was decided on before the purge, and says nothing of its age."""
-        for attempt, sending in list(self.sendings.items()):
-            ask = sending.order.ask
+        for attempt, pending in list(self.attempts.items()):
+            ask = pending.order.ask
             touched = object == ask.object if object is not None else group is None or ask.group == group
-            if sending.wire is None and touched:
+            if pending.connection is None and touched:
                 self.ended(attempt, Ended(api.Outcome.UNSENT))
 
     # --- what the list tells of addresses
@@ -549,7 +514,7 @@
 
     def reached(self) -> tuple[list[str], list[str]]:
         """Of the servers that were dialled: those that are up, and those that the last dial did not reach."""
-        up = [pool.name for pool in self.servers.values() if pool.wires and not pool.down]
+        up = [pool.name for pool in self.servers.values() if pool.connections and not pool.down]
         return up, [pool.name for pool in self.servers.values() if pool.down]
 
     def families(self) -> set[int]:
@@ -564,27 +529,6 @@
         if self._leave(attempt) is not None:
             self.engine.ended(attempt, end)
 
-    def head(self, order: Order) -> bytes:
-        ask = order.ask
-        fields = [f"profile={ask.cls}", f"thing={ask.object}", f"nth={ask.part}"]
-        if order.limit:  # less what it waited for meanwhile
-            left = min(order.limit, order.due - self.engine.clock.now()) if order.due else order.limit
-            fields.append(f"max={max(1, -(-left // 1_000))}")
-        if ask.token is not None:
-            fields.append(f"replay={ask.token}")
-        if order.source != order.server:
-            fields.append(f"from={self.servers[order.source].name}")
-        if order.keep:
-            fields.append(f"rank={order.keep}")
-        if order.age:
-            fields.append(f"oldest={max(1, order.age // 1_000)}")
-        words = [word for bit, word in MODES if bit & order.mode]
-        if words:
-            fields.append("mode=" + "+".join(words))
-        if ask.seen:
-            fields.append(f"seen={ask.seen}")
-        return f"do {ask.rid} {','.join(fields)} {len(ask.body)}\r\n".encode()
-
     def dial(self, pool: Pool) -> None:
         pool.dialling += 1
         self.held += 1
@@ -594,24 +538,24 @@
 
     async def _dial(self, pool: Pool) -> None:
         loop = asyncio.get_running_loop()
-        wire = Wire(pool)
+        connection = UpstreamConnection(pool)
         try:
             async with asyncio.timeout(self.limits.connect_timeout / 1e6):
-                await loop.create_connection(lambda: wire, pool.host, pool.port)
+                await loop.create_connection(lambda: connection, pool.host, pool.port)
         except OSError as error:  # a time-out is one too
             self.engine.stats.count("connection", "failed")
             self.log(f"{pool.name}: no connection: {error!r}")
-            if not wire.counted:
+            if not connection.counted:
                 self.held -= 1
             if is_own_shortage(error):
                 pool.short()
             else:
                 pool.dialled(up=False)
             return
-        if wire.transport is not None and wire.transport.get_extra_info("peername") is None:
+        if connection.transport is not None and connection.transport.get_extra_info("peername") is None:
             # asyncio takes EAGAIN of connect(2), no free port, for a connection that is under way.
             self.engine.stats.count("connection", "failed")
-            wire.abort()
+            connection.abort()
             pool.short()
             return
         pool.dialled(up=True)
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -24,9 +24,9 @@
 from threadhill.net.journal import Journal
 from threadhill.net.journal_events import server_number
 from threadhill.net.lag import LoopLag
-from threadhill.net.lines import CacheServers, Limits
 from threadhill.net.resp import Platform
 from threadhill.net.turns import Turns
+from threadhill.net.upstream import CacheServers, Limits
 from threadhill.settings import Malformed
 
 if TYPE_CHECKING:  # each is imported where the operator's file turns it on: the platform's memory is small
