--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from tests.script import CACHES, SETTINGS, cache
@@ -11,6 +13,8 @@
 from threadhill.core.ports import Answer, Ask, Final
 from threadhill.decision import interface as api
 from threadhill.log import BURST, Log
+from threadhill.net.journal import Journal
+from threadhill.net.journal_events import read_event
 from threadhill.net.upstream_codec import read_report
 from threadhill.stats import Stats
 
@@ -91,3 +95,30 @@
     lines = capsys.readouterr().err.splitlines()
     assert len(lines) == BURST + 2 and lines[0] == "+0.000 line 0"
     assert lines[-2:] == [f"+10.000 {1_000 - int(BURST)} lines left out", "+10.000 later"]
+
+
+class Pools:
+    """The connections' side of a list, without any."""
+
+    def known(self, number: int, name: str, host: str, port: int) -> None:
+        pass
+
+    def listed(self, entries: list[api.Entry]) -> None:
+        pass
+
+
+def test_a_long_first_list_gives_the_same_rooms_as_one_that_is_told_at_once() -> None:
+    """Guards against a first list that is taken in slices: how many fills a source has room for follows from how many
+    sources there are, and the first slice knows of none."""
+    members = [{"id": f"s-{n:08x}", "host_port": "127.0.0.1:1", "locality": "here", "flavor": "box", "cell": 1,
+                "phase": "SERVING", "size": 1, "up_since_ms": 0} for n in range(1_000, 1_300)]
+    members += [member | {"id": f"s-{n:08x}", "locality": "hub", "flavor": "parent"}
+                for n, member in enumerate(members[:20], 2_000)]
+    many = replace(SETTINGS, zones=("hub", *map(str, range(60))), zone_routers=(0, *[1] * 60), routers=60)
+    made, at_once = (Engine(many, 1, Clock(), Deadlines(lambda when: None, print), Stats(), print) for _ in range(2))
+    journal = Journal(made, Pools(), print)
+    journal.catch_up(1, [read_event({"pos": 1, "hosts": {"complete": True, "members": members}})])
+    at_once.listed(api.ListNews(api.ListKind.FULL, tuple(
+        read_event({"pos": 1, "hosts": {"members": [member]}}).members[0].entry for member in members)))
+    rooms = {number: server.fill_room for number, server in at_once.router.fleet.servers.items()}
+    assert {n: server.fill_room for n, server in made.router.fleet.servers.items()} == rooms
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -152,7 +152,7 @@
         if whole_list:
             self.known_members.keep({member.name for member in members})
         changed = [member for member in members if self._members.get(member.entry.server) is not member]
-        if len(changed) <= SLICE:
+        if len(changed) <= SLICE or not self._listed:  # the first list is told whole: nobody is served before it
             self._tell(changed, self._unnamed(members) if whole_list else [], whole_list, event.revision, members)
             return
         for start in range(0, len(changed), SLICE):
