--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,7 +12,7 @@
 import struct
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -621,6 +621,33 @@
     assert b"%016x" % 2 in below.up()[1].taken and len(below.ends) == 1
 
 
+class FullTransport(Transport):
+    """A transport whose socket's buffer is full, as its peer has read nothing for long."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.here, self.there = socket.socketpair()
+        self.here.setblocking(False)
+        with suppress(BlockingIOError):
+            while True:
+                self.here.send(b"x" * 65_536)
+
+    def get_extra_info(self, name: str) -> socket.socket | None:
+        return self.here if name == "socket" else None
+
+
+def test_a_connection_whose_peer_reads_nothing_takes_no_further_attempt() -> None:
+    """What is written there would begin when the peer reads on, after its time or after its client has left."""
+    below = Below()
+    below.send(1)
+    full = FullTransport()
+    connection, _ = below.up(full)
+    assert full.taken == b"" and connection.suspect and below.pool.dialling == 1 and below.outcomes == []
+    assert b"%016x" % 1 in below.up()[1].taken
+    full.here.close()
+    full.there.close()
+
+
 def test_a_dial_that_comes_up_after_its_server_drained_carries_nothing(tmp_path: Path) -> None:
     """What waited for it is decided on anew, and the connection is closed."""
 
