Split the tests of endings by whose end it is, with what they share in two support modules

tests/by_hand.py (clients and servers by hand), tests/upstream_stub.py (the servers' side without sockets), tests/test_upstream_endings.py.

--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -10,8 +10,8 @@
 
 import pytest
 
+from tests.by_hand import NotUp
 from tests.faults.world import FaultWorld, play
-from tests.test_endings import NotUp
 from tests.world import OBJECT, SETTINGS, Box, Journal, until
 
 OWN_SHORTAGE = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
--- /dev/null
+++ b/tests/upstream_stub.py
@@ -0,0 +1,74 @@
+"""The cache servers' side without sockets: dials that come up when the test says, and what is written to them."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+from threadhill.core.deadlines import Deadlines
+from threadhill.core.ports import Ask, Ended, Order
+from threadhill.net.upstream import CacheServers, Limits, Pool, UpstreamConnection
+from threadhill.stats import Stats
+
+
+class Transport:
+    """A transport whose peer reads when the test says: what it took, and what became of it."""
+
+    def __init__(self) -> None:
+        self.taken = b""
+        self.ends: list[str] = []
+        self.held = 0  # bytes that wait in it
+        self.reset = False
+
+    def write(self, data: bytes) -> None:
+        if self.reset:
+            self.ends.append("abort")
+        else:
+            self.taken += data
+
+    def get_write_buffer_size(self) -> int:
+        return self.held
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def is_closing(self) -> bool:
+        return "close" in self.ends or "abort" in self.ends
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *more, **named: self.ends.append(name)
+
+
+class Below:
+    """The cache servers' side without sockets: dials that come up when the test says, and what is written to them."""
+
+    def __init__(self) -> None:
+        self.now = 1_000_000
+        self.ends: list[tuple[int, Ended]] = []
+        engine = SimpleNamespace(gate=None, clock=SimpleNamespace(now=lambda: self.now), stats=Stats(),
+                                 deadlines=Deadlines(lambda when: None, lambda error: None),
+                                 ended=lambda attempt, end: self.ends.append((attempt, end)))
+        self.deadlines = engine.deadlines
+        self.caches = CacheServers(engine, Limits(), lambda text: None)
+        self.caches.dial = self._dial
+        self.caches.known(1, "s-1", "127.0.0.1", 1)
+        self.pool = self.caches.servers[1]
+
+    def _dial(self, pool: Pool) -> None:
+        pool.dialling += 1
+        self.caches.held += 1
+
+    def send(self, attempt: int, source: int = 1, body: bytes = b"", **more: int) -> None:
+        ask = Ask(cls="license-buy", rid=f"{attempt:016x}", object=f"o{attempt}", left=1_000_000, body=body)
+        self.caches.send(attempt, Order(ask, 1, source, 1_000_000, **more))
+
+    def up(self, transport: Transport | None = None) -> tuple[UpstreamConnection, Transport]:
+        """A dial comes up: the connection, and its other end."""
+        wire, transport = UpstreamConnection(self.pool), transport or Transport()
+        wire.connection_made(transport)
+        self.pool.dialled(up=True)
+        return wire, transport
+
+    @property
+    def outcomes(self) -> list[tuple[int, str]]:
+        return [(attempt, end.outcome.value) for attempt, end in self.ends]
