--- a/tests/faults/test_purges.py
+++ b/tests/faults/test_purges.py
@@ -49,19 +49,7 @@
         assert w.switches.wall_readings
         await nothing_old_is_served(w, stamp)
 
-    if moment == "before the start":
-        class Stepped(FaultWorld):
-            def __init__(self, folder: Path) -> None:
-                super().__init__(folder)
-                self.switches.step_wall(step)
-
-        async def run() -> None:
-            async with Stepped(tmp_path) as w:
-                await scene(w)
-
-        asyncio.run(run())
-    else:
-        play(tmp_path, scene)
+    play(tmp_path, scene, step=step if moment == "before the start" else 0.0)
 
 
 @pytest.mark.parametrize("step", STEPS)
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -6,10 +6,11 @@
 import signal
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
+from tests import test_proxy
 from tests.faults.switches import Switches
 from tests.world import Box, World, whole
 
@@ -19,9 +20,11 @@
 class FaultWorld(World):
     """As `World`; `switches` has the faults of the proxy's process, which all its restarts meet too."""
 
-    def __init__(self, folder: Path, **more: Any) -> None:
+    def __init__(self, folder: Path, step: float = 0.0, **more: Any) -> None:
+        """`step`: seconds by which the wall clock of the first process is off already."""
         super().__init__(folder, **more)
         self.switches = Switches(folder / "switches", create=True)
+        self.switches.step_wall(step)
 
     def program(self) -> list[str]:
         return [sys.executable, "-m", "tests.faults.program", str(self.switches.path), "serve"]
@@ -37,14 +40,7 @@
         self.port = await self.listens("n0")
 
 
-def play(folder: Path, scene: Callable[[FaultWorld], Awaitable[None]], **more: Any) -> None:
-    """Run a scene in a world of its own."""
-
-    async def run() -> None:
-        async with FaultWorld(folder, **more) as world:
-            await scene(world)
-
-    asyncio.run(run())
+play = partial(test_proxy.play, make=FaultWorld)  # a scene in such a world of its own
 
 
 def unix_ms() -> int:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -14,9 +14,9 @@
 from tests.world import OBJECT, Box, Journal, World, crowd, ended, until, whole
 
 
-def play(folder: Path, scene: Callable[[World], Awaitable[None]], **more: object) -> None:
+def play(folder: Path, scene: Callable[[World], Awaitable[None]], make: type[World] = World, **more: object) -> None:
     async def run() -> None:
-        async with World(folder, **more) as world:
+        async with make(folder, **more) as world:
             await scene(world)
 
     asyncio.run(run())
--- a/tests/upstream_stub.py
+++ b/tests/upstream_stub.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from types import SimpleNamespace
 from typing import Any
 
@@ -10,6 +11,8 @@
 from threadhill.net.upstream import CacheServers, Limits, Pool, UpstreamConnection
 from threadhill.stats import Stats
 
+WRITABLE = open(os.devnull, "wb")  # noqa: SIM115 - stands for a socket that takes all, as long as the tests run
+
 
 class Transport:
     """A transport whose peer reads when the test says: what it took, and what became of it."""
@@ -35,6 +38,9 @@
     def is_closing(self) -> bool:
         return "close" in self.ends or "abort" in self.ends
 
+    def get_extra_info(self, name: str) -> Any:
+        return WRITABLE if name == "socket" else None
+
     def __getattr__(self, name: str) -> Any:
         return lambda *more, **named: self.ends.append(name)
 
--- a/threadhill/admin/cordon_file.py
+++ b/threadhill/admin/cordon_file.py
@@ -9,14 +9,13 @@
 
 import os
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import orjson
 
-from threadhill.files import Stamp, stamp
+from threadhill.files import Stamp, replace_whole, stamp
 
 NAME = "threadhill-cordons.json"
 MOST = 1 << 20  # bytes that the file may have: far more than any list of names
@@ -91,17 +90,13 @@
         """Write what could not be written yet, if anything."""
         if self._unwritten is None:
             return
-        beside = self.path.with_name(f".{NAME}.{os.getpid()}")
         try:
-            beside.write_bytes(self._unwritten)
-            os.replace(beside, self.path)
+            replace_whole(self.path, self._unwritten)
         except OSError as error:
             if not self._told:
                 self.log(f"cordons: {self.path}: not written: {error}; they hold in this process, one that starts now "
                          "will not know them; it is tried again until it is written")
             self._told = True
-            with suppress(OSError):
-                beside.unlink()
             return
         if self._told:
             self.log(f"cordons: {self.path}: written again")
--- a/threadhill/control/clock_file.py
+++ b/threadhill/control/clock_file.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable
 from pathlib import Path
 
 import orjson
 
 from threadhill.core.clock import Clock
+from threadhill.files import replace_whole
 
 NAME = "clock.json"
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")  # of this start of the machine, as Linux tells it
@@ -28,10 +28,8 @@
     if known is not None and boot and known[0] == boot:
         return Clock(anchor=known[1])
     clock = Clock()
-    beside = path.with_suffix(".new")
     try:
-        beside.write_bytes(orjson.dumps({"boot": boot, "anchor": clock.anchor}))
-        os.replace(beside, path)
+        replace_whole(path, orjson.dumps({"boot": boot, "anchor": clock.anchor}))
     except OSError as error:
         log(f"clock: {path}: not written: {error}; after a restart the time goes on by the wall clock")
     return clock
--- a/threadhill/decision/choice.py
+++ b/threadhill/decision/choice.py
@@ -16,7 +16,7 @@
 from threadhill.decision.fleet import Fleet
 from threadhill.decision.freshness import EVERYTHING, Freshness, PurgeRecord
 from threadhill.decision.interface import FillMode, Note, Outcome
-from threadhill.decision.order import KEPT_PLACES, SMALL, in_order_of
+from threadhill.decision.order import KEPT_PLACES, SMALL
 from threadhill.decision.running import RotatingSum
 from threadhill.decision.state import Job, Mean, Rate, Server, Tally, faded, remember, take_hints
 
@@ -175,7 +175,7 @@
         look ill the fault lies elsewhere, unless they are silent."""
         ejected: list[Server] = []
         some_well = False
-        for server in islice(order, max(LOOKED_AT, SMALL if self.fleet.caches.small else 0)):
+        for server in islice(order, SMALL if self.fleet.caches.small else LOOKED_AT):
             if self.now < server.ejected_until:
                 ejected.append(server)
                 continue
@@ -276,7 +276,7 @@
             # Parts are kept one by one: one draw for each. All may ask for one part of a live object at once.
             share = HOT_SHARE * self.total.rate / max(1, len(self.fleet.caches))
             copies = 1 + int(rate.rate / share) if share else 1
-            pool = in_order_of(f"{job.ask.object}/{job.ask.part}", pool)[:copies]
+            pool = self.fleet.caches.rank(f"{job.ask.object}/{job.ask.part}", pool)[:copies]
         cache = pool[self.random.randrange(len(pool))]
         origin = self.fleet.origin
         if source is not None and not self.may_fill(source, source.fill_room, part):  # Guard 11
--- a/threadhill/decision/freshness.py
+++ b/threadhill/decision/freshness.py
@@ -37,10 +37,11 @@
         if known is not None:
             record = PurgeRecord(max(record.at, known.at), record.heard_at, max(record.stamp, known.stamp))
         self.records[key] = record
-        self.records = {k: r for k, r in self.records.items() if not self._over(r, record.heard_at)}
+        self.records = self.current(record.heard_at)
 
-    def _over(self, record: PurgeRecord, now: int) -> bool:
-        return now - record.at > self.drop_time
+    def current(self, now: int) -> dict[str | int, PurgeRecord]:
+        """The purges that copies may still be older than."""
+        return {key: record for key, record in self.records.items() if now - record.at <= self.drop_time}
 
     def _of(self, name: str, group: int | None) -> list[PurgeRecord]:
         """The purges that an object of this name and group falls under."""
--- a/threadhill/decision/order.py
+++ b/threadhill/decision/order.py
@@ -13,13 +13,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from collections.abc import Iterable, Iterator
 
 from threadhill.decision.hashing import mix, number_of
-
-if TYPE_CHECKING:
-    from threadhill.decision.state import Server
+from threadhill.decision.state import Server, remember
 
 SMALL = 256  # servers up to which the whole order is sorted; far above the caches of a usual fleet, so that no release
 # crosses it back and forth: crossing changes all orders once
@@ -52,9 +49,8 @@
     def __iter__(self) -> Iterator[Server]:
         return iter(self.servers.values())
 
-    def __contains__(self, server: object) -> bool:
-        number = getattr(getattr(server, "entry", None), "server", None)
-        return self.servers.get(number) is server
+    def __contains__(self, server: Server) -> bool:
+        return self.servers.get(server.entry.server) is server
 
     # --- changes
 
@@ -92,9 +88,7 @@
         kept = self._kept.pop(name, None)
         if kept is None:
             kept = self._sorted(name) if self.small else []
-        self._kept[name] = kept  # used last
-        if len(self._kept) > KEPT_ORDERS:
-            del self._kept[next(iter(self._kept))]
+        remember(self._kept, name, kept, KEPT_ORDERS)
         yield from kept
         if len(kept) == len(self.servers):
             return
@@ -110,17 +104,18 @@
         number = self._names.get(name)
         if number is None:
             number = number_of(name)
-            if len(self._names) >= KEPT_ORDERS:
-                del self._names[next(iter(self._names))]
-            self._names[name] = number
+            remember(self._names, name, number, KEPT_ORDERS)
         return number
 
-    def _sorted(self, name: str) -> list[Server]:
-        """Rendezvous hashing over all servers."""
+    def rank(self, name: str, servers: Iterable[Server]) -> list[Server]:
+        """Some of these servers in this name's own order: rendezvous hashing over just them."""
         number, marks = self._number(name), self._marks
+        return sorted(servers, key=lambda s: (mix(number ^ marks[s.entry.server]), s.entry.server))
+
+    def _sorted(self, name: str) -> list[Server]:
+        """The whole order."""
         self.looked_at += len(self.servers)
-        numbers = sorted(self.servers, key=lambda server: (mix(number ^ marks[server]), server))
-        return [self.servers[server] for server in numbers]
+        return self.rank(name, self.servers.values())
 
     def _drawn(self, name: str) -> Iterator[Server]:
         """Draw cells until every server has come, or the draws are spent; the rest follows in the table's order."""
@@ -141,9 +136,3 @@
         for number, server in list(self.servers.items()):
             if number not in seen:
                 yield server
-
-
-def in_order_of(name: str, servers: list[Server]) -> list[Server]:
-    """A few servers in this name's own order: rendezvous hashing over just these."""
-    number = number_of(name)
-    return sorted(servers, key=lambda s: (mix(number ^ mix(s.entry.server)), s.entry.server))
--- a/threadhill/files.py
+++ b/threadhill/files.py
@@ -4,6 +4,7 @@
 
 import os
 import stat
+from contextlib import suppress
 from pathlib import Path
 
 from threadhill.settings import Malformed
@@ -21,6 +22,19 @@
     return found.st_ino, found.st_size, found.st_mtime_ns
 
 
+def replace_whole(path: Path, raw: bytes) -> None:
+    """Write a file beside this one and rename it over it, so that a reader never sees half of one. OSError where the
+    folder does not take it: then the old file stands, and nothing half written is left."""
+    beside = path.with_name(f".{path.name}.{os.getpid()}")
+    try:
+        beside.write_bytes(raw)
+        os.replace(beside, path)
+    except OSError:
+        with suppress(OSError):
+            beside.unlink()
+        raise
+
+
 def check_private(path: Path, most: int = MOST) -> None:
     """A secret that others may read is none: Malformed says what to do."""
     found = os.stat(path)
--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from threadhill.net.shortage import ACCEPT_NEXT, is_own_shortage
+from threadhill.net.shortage import ACCEPT_NEXT, START_PATIENCE, is_own_shortage
 from threadhill.net.stream import LINGER, Stream
 from threadhill.net.turns import Host
 
@@ -25,7 +25,6 @@
 YOUNG = 100_000  # microseconds in which nobody new is turned out: its first message may be on the way
 LOOK = 250_000  # microseconds between looks for those that are silent
 FULL_AGAIN = 10_000  # microseconds until the door looks again for room
-START_PATIENCE = 8.0  # seconds for which a start waits for a machine that is short of descriptors or memory
 SHORT_AGAIN = 20_000  # the same when the machine has no descriptors or memory left
 
 
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-import traceback
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
@@ -61,8 +60,7 @@
         self.dialling: Feed | None = None  # the one connection that may come up
         self._gap = -1  # the last number before a gap that was asked for again
         self._wait = AGAIN
-        self._listed: set[int] = set()
-        self._members: dict[int, Member] = {}  # of the list, as they were applied
+        self._members: dict[int, Member] = {}  # server -> its member of the list, as it was applied
         self.known_members = KnownMembers()
         self._task: asyncio.Task[None] | None = None
         self._redial: tuple[int, int] | None = None
@@ -79,9 +77,8 @@
         """One event, a slice of its members at a time. Its number counts as applied once all of it is."""
         if event.pos <= self.pos:
             return
-        self._hear_stamps(event)
         if event.members is not None:
-            yield from self._host_steps(event, first=not self._listed)
+            yield from self._host_steps(event, first=not self._members)
         age = self._purge(event) if event.stamp is not None else None
         if event.tenants is not None:
             self.engine.tenants.change(list(event.tenants), set(event.tenants_gone), event.complete)
@@ -152,7 +149,7 @@
         if whole_list:
             self.known_members.keep({member.name for member in members})
         changed = [member for member in members if self._members.get(member.entry.server) is not member]
-        if len(changed) <= SLICE or not self._listed:  # the first list is told whole: nobody is served before it
+        if len(changed) <= SLICE or first:  # the first list is told whole: nobody is served before it
             self._tell(changed, self._unnamed(members) if whole_list else [], whole_list, event.revision, members)
             return
         for start in range(0, len(changed), SLICE):
@@ -164,7 +161,7 @@
     def _unnamed(self, members: Sequence[Member]) -> list[api.Entry]:
         """Who is listed and not named here: they have gone."""
         named = {member.entry.server for member in members}
-        return [api.Entry(number, api.State.GONE) for number in sorted(self._listed - named)]
+        return [api.Entry(number, api.State.GONE) for number in sorted(self._members.keys() - named)]
 
     def _tell(self, members: Sequence[Member], gone: list[api.Entry], whole_list: bool, revision: int,
               all_members: Sequence[Member]) -> None:
@@ -181,8 +178,6 @@
             self._members.pop(entry.server, None)
         told = all_members if whole_list else members
         entries = [self._started(member.entry) for member in told] + gone
-        self._listed |= {entry.server for entry in entries if entry.state is not api.State.GONE}
-        self._listed -= {entry.server for entry in entries if entry.state is api.State.GONE}
         kind = api.ListKind.FULL if whole_list else api.ListKind.CHANGES
         news = tuple(entries) if self.recovery is None else self.recovery.screen(tuple(entries))
         self.engine.listed(api.ListNews(kind, news, revision))
@@ -318,6 +313,7 @@
         if isinstance(value, dict) and self.recovery is not None and self._of_recovery(value):
             return
         event = yield from read_event_steps(value, self.known_members)
+        self._hear_stamps(event)
         if event.pos > self.pos + 1 and self._gap != self.pos:
             self._gap = self.pos
             raise Malformed(f"{event.pos} follows {self.pos}")  # what lies between is asked for, once
@@ -441,7 +437,6 @@
 
     def _work(self) -> None:
         """Take lines for a while; the rest of them, or of a long one, has its turn after other work."""
-        self._turn = None
         before = self.journal.pos
         end = time.monotonic() + TURN
         try:
@@ -453,20 +448,20 @@
                 if next(self._steps, self) is self:
                     self._steps = None
                 if time.monotonic() > end:
-                    self._turn = asyncio.get_running_loop().call_soon(self._work)
+                    self._turn = asyncio.get_running_loop().call_soon(self._go_on)
                     break
         except (ValueError, Malformed) as error:
             self.journal.log(f"journal: {error}")
             self.journal.engine.stats.count("malformed", "journal")
             self.abort()
             return
-        except Exception:
-            self.fault(traceback.format_exc())
-            self.abort()
-            return
         if self.journal.pos != before:
             self.journal.say()
 
+    def _go_on(self) -> None:
+        self._turn = None
+        self.turn()
+
     def fault(self, trace: str) -> None:
         self.journal.engine.stats.count("fault", "journal")
         self.journal.log(f"journal: {trace}")
--- a/threadhill/net/shortage.py
+++ b/threadhill/net/shortage.py
@@ -12,6 +12,10 @@
                          errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT,
                          errno.ECONNRESET, errno.EPERM})
 
+# What may keep a file from being read for a while, with nothing wrong about the file.
+READ_AGAIN = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EINTR, errno.EAGAIN})
+START_PATIENCE = 8.0  # seconds for which a start waits for such a shortage to pass
+
 
 def is_own_shortage(error: OSError) -> bool:
     """Whether the call failed for a shortage of this machine, so that the peer has nothing to do with it."""
--- a/threadhill/net/stream.py
+++ b/threadhill/net/stream.py
@@ -165,14 +165,7 @@
 
     def takes(self) -> bool:
         """Whether the kernel takes something to be sent now: not where the peer has read nothing for long."""
-        if self.transport is None or self.transport.is_closing():
-            return False
-        connected = self.transport.get_extra_info("socket")
-        if connected is None:  # a transport without a socket, as of a test
-            return True
-        look = select.poll()
-        look.register(connected.fileno(), select.POLLOUT)
-        return bool(look.poll(0))
+        return self._shows(select.POLLOUT)
 
     def _shows(self, event: int) -> bool:
         if self.transport is None or self.transport.is_closing():
--- a/threadhill/net/upstream.py
+++ b/threadhill/net/upstream.py
@@ -42,6 +42,8 @@
 CUT_MEMORY = 60_000_000  # microseconds for which it is remembered that idle connections were cut
 LEAST_WAIT = 100_000  # microseconds: an attempt given up sooner says nothing of its connection
 STALL = 500_000  # microseconds in the middle of an answer after which the rest is no more waited for
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What the site and the machine allow; times in microseconds."""
--- a/threadhill/recovery/saved.py
+++ b/threadhill/recovery/saved.py
@@ -53,9 +53,7 @@
             unix: int | None = None) -> dict[str, Any]:
     """What is to be kept now: `now` in local time, `unix` the Unix time of the file; absent: the same."""
     unix = now if unix is None else unix
-    freshness = router.freshness
-    purges = [[key, unix - (now - record.at)] for key, record in freshness.records.items()
-              if now - record.at <= freshness.drop_time]
+    purges = [[key, unix - (now - record.at)] for key, record in router.freshness.current(now).items()]
     return {"pos": pos, "learned": learned.gather(router, now), "out": list(memory.out.items()), "purges": purges,
             "cordons": cordons[:NAMES], "term": term}
 
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import gc
 import os
 import signal
@@ -25,6 +24,7 @@
 from threadhill.net.journal_events import server_number
 from threadhill.net.lag import LoopLag
 from threadhill.net.resp import Platform
+from threadhill.net.shortage import READ_AGAIN, START_PATIENCE
 from threadhill.net.turns import Turns
 from threadhill.net.upstream import CacheServers, Limits
 from threadhill.settings import Malformed
@@ -45,16 +45,13 @@
 CORDONS_LOOK = 200_000  # microseconds between looks whether another process of this proxy was told of cordons
 CORDONS_KEEP = 60_000_000  # microseconds for which one put back is told as cold to a process that starts later
 KEYS_LOOK = 500_000  # microseconds between looks whether a zone's keys changed
-START_PATIENCE = 8.0  # seconds for which a start waits for a configuration that cannot be read
-START_AGAIN = 0.05  # seconds between its tries
+START_AGAIN = 0.05  # seconds between tries of a start to read its configuration
 RELOAD_AGAIN = 200_000  # microseconds between tries to read a new configuration
 CLOCK_LOOK = 1_000_000  # microseconds between looks whether the wall clock was stepped
 LOOK_AGAIN = 10_000  # microseconds between looks whether all is answered
 KILL_LONGEST = 3_000_000  # microseconds of the longest deadline as SIGKILL counts it where the classes' are longer
 BEFORE_KILL = 100_000  # microseconds before SIGKILL may come at which what is open is failed, to be read in time
 
-MAY_PASS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EINTR, errno.EAGAIN})
-
 log = Log(time.monotonic)
 
 
@@ -443,7 +440,7 @@
         try:
             return load(environ)
         except Unreadable as error:
-            passing = isinstance(error.__cause__, OSError) and error.__cause__.errno in MAY_PASS
+            passing = isinstance(error.__cause__, OSError) and error.__cause__.errno in READ_AGAIN
             if not passing or time.monotonic() > end:
                 raise
             log(f"threadhill: {error}; it is tried again")
