--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -173,3 +173,25 @@
         assert (await client.get())[0] == "200" and w.switches.strikes("read_file") == 3
 
     play(tmp_path, scene)
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.EMFILE], ids=lambda error: errno.errorcode[error])
+def test_time_in_the_listeners_queue_is_not_the_servers(tmp_path: Path, error: int) -> None:
+    """A request that waited while accept failed was told to a server with all of its client's time."""
+
+    async def scene(w: FaultWorld) -> None:
+        w.switches.fail("accept", error)
+        client = await w.client()
+        tag = client.ask("clip-parts", budget=2000)
+        began = time.monotonic()
+        await until(lambda: time.monotonic() > began + 0.5 and w.switches.strikes("accept"), "it to have waited")
+        w.switches.fail("accept", 0, 0)
+        assert (await client.answer(tag))[0] == "200"
+        assert all(int(ask["max"]) <= 2000 - 500 + 150 for ask in w.asked())
+        await asyncio.sleep(0.1)  # who comes later has not waited, nor what is asked later on this connection
+        assert (await client.get("clip-parts", n=1, budget=2000))[0] == "200"
+        other = await w.client()
+        assert (await other.get("clip-parts", n=2, budget=2000))[0] == "200"
+        assert all(int(ask["max"]) >= 1900 for ask in w.asked()[-2:])
+
+    play(tmp_path, scene)
