--- a/threadhill/net/door.py
+++ b/threadhill/net/door.py
@@ -42,6 +42,7 @@
         self._began: tuple[int, int] | None = None  # when a message was seen under way, and which one
         self.group = ""  # whose quota of connections this one is counted on
         self.came = False  # it came up, so its end tells that it is gone
+        self.queued = 0  # microseconds for which it, and what it had sent, may have waited in the kernel's queue
 
     def opened(self) -> None:
         self.came = True
@@ -116,6 +117,7 @@
         self._inherited = False
         self._shutting = False  # nobody new is taken; who waits in the queue still is
         self._failing = False  # the last accept failed, though somebody may wait
+        self._queue_since = 0  # since when somebody may wait in the kernel's queue; 0: it was empty at the last look
         self._loop = asyncio.get_running_loop()
 
     async def listen(self, host: str, port: int) -> int:
@@ -208,8 +210,10 @@
 
     def _pause(self, wait: int) -> None:
         """Whoever comes waits in the kernel's queue."""
+        now = self.engine.clock.now()
+        self._queue_since = self._queue_since or now
         self._loop.remove_reader(self._socket)
-        self.engine.deadlines.add(self.engine.clock.now() + wait, self._open)
+        self.engine.deadlines.add(now + wait, self._open)
 
     def _come(self) -> None:
         for _ in range(TURN):
@@ -234,10 +238,13 @@
         self._failing = False
         try:
             peer, address = self._socket.accept()
-        except (BlockingIOError, InterruptedError):
+        except (BlockingIOError, InterruptedError) as error:
+            if isinstance(error, BlockingIOError):
+                self._queue_since = 0
             return False
         except OSError as error:
             self._failing = True
+            self._queue_since = self._queue_since or self.engine.clock.now()
             self.engine.stats.count(self.name, f"accept failed, {error.strerror}")
             if error.errno in ACCEPT_NEXT:
                 return True
@@ -253,14 +260,15 @@
                 peer.close()
                 return True
             self._held[group] += 1
-        task = self._loop.create_task(self._welcome(peer, group))
+        queued = self.engine.clock.now() - self._queue_since if self._queue_since else 0
+        task = self._loop.create_task(self._welcome(peer, group, queued))
         self._coming.add(task)
         task.add_done_callback(self._coming.discard)
         return True
 
-    async def _welcome(self, peer: socket.socket, group: str) -> None:
+    async def _welcome(self, peer: socket.socket, group: str, queued: int) -> None:
         guest = self._make(self)
-        guest.group = group
+        guest.group, guest.queued = group, queued
         try:
             if self._secure is None:
                 await self._loop.connect_accepted_socket(lambda: guest, peer)
--- a/threadhill/net/resp.py
+++ b/threadhill/net/resp.py
@@ -8,6 +8,7 @@
 from threadhill.core.engine import Engine
 from threadhill.core.ports import Answer, Ask, Final
 from threadhill.decision import interface as api
+from threadhill.net.arrival import waited_in_queue
 from threadhill.net.door import Door, Guest
 from threadhill.net.stream import Stream
 
@@ -28,6 +29,7 @@
 QUIET_NEW = 300_000  # microseconds that a connection that said nothing yet has for its first request then
 QUIET_REFUSE = 1_500_000  # microseconds of a drain after which what comes on a connection that stays is sent away
 HELD = 16 << 10  # bytes of a connection that are read while nothing is taken off it
+AT_ONCE = 50_000  # microseconds after a connection was taken in which what is read had come before that
 NEWS_FIRST = 200_000  # microseconds for which requests wait for news that was read before them
 HEX = re.compile(r"[0-9a-f]{16}")
 WHOLE = re.compile(r"[0-9]{1,10}")
@@ -236,11 +238,16 @@
         """After a hold-up of the loop requests are taken in the next turn: what discovery told meanwhile comes first,
         and the time that they may have waited is off what they have left."""
         waited = self.front.held_up()
+        now = self.front.engine.clock.now()
         if waited and not self._held and not self._closing:
             self._hold(0)
-            now = self.front.engine.clock.now()
             self._held_since, self._news_until = min(self._held_since, now - waited), now + NEWS_FIRST
             self.front.engine.stats.count("loop", "held up")
+        if self.queued:  # what stands behind an accept that was late may have come long before it
+            if now - self.since <= AT_ONCE:
+                connection = self.transport.get_extra_info("socket")
+                self._held_since = min(self._held_since or now, now - waited_in_queue(connection, self.queued))
+            self.queued = 0
         super().buffer_updated(count)
 
     def parse(self) -> None:
--- a/threadhill/standin/soak/world.py
+++ b/threadhill/standin/soak/world.py
@@ -299,8 +299,14 @@
                 if server.kind is Kind.CACHE and server.name not in self.draining]
         return self.rng.choice(able) if len(able) > 2 else None
 
+    def _some_parent(self) -> StandInServer | None:
+        """A parent that serves, of more than one that do."""
+        able = [server for server in self.servers.values()
+                if server.kind is Kind.PARENT and server.name not in self.draining]
+        return self.rng.choice(able) if len(able) > 1 else None
+
     async def _drain(self, back_after: float) -> None:
-        server = self._some_cache()
+        server = self._some_parent() if self.rng.random() < 0.4 else self._some_cache()
         if server is None:
             return
         removal = self.draining[server.name] = Removal(server.name, time.monotonic())
