--- a/threadhill/standin/soak/judge.py
+++ b/threadhill/standin/soak/judge.py
@@ -202,7 +202,8 @@
 
     def _cold(self) -> Iterator[Breach]:
         """What reached a cold server in each window, against what it can take; what its warm peers were seen to take is
-        the guide to that. It counts from when the last process that ran then was told; later ones knew at their start."""
+        the guide to that. It counts from when the last process that ran then was told; later ones knew from their
+        start."""
         arrivals: dict[str, list[float]] = defaultdict(list)
         for attempt in self.record.attempts:
             arrivals[attempt.server].append(attempt.at)
