--- a/threadhill/standin/soak/proxy.py
+++ b/threadhill/standin/soak/proxy.py
@@ -20,6 +20,7 @@
 
 READY_BY = 30.0  # seconds in which a process must serve
 STATUS_EVERY = 0.1  # seconds between questions whether it does
+STARVED = 0.01  # seconds of waiting for a processor, between two looks, that are noted
 
 
 class StandInFailed(Exception):
@@ -67,6 +68,7 @@
     starts: int = 0
     clients: list[SoakClient] = field(default_factory=list)
     idle: list[SoakClient] = field(default_factory=list)
+    waited: tuple[str, float, float] = ("", 0.0, 0.0)  # process, when it was looked at, its waiting for a processor
     history: list[dict[str, Any]] = field(default_factory=list)  # contents of all events since the first start
 
     @property
@@ -147,6 +149,18 @@
         while not self.life.ended_at:
             await asyncio.sleep(0.005)
 
+    def look_at_waiting(self) -> None:
+        """Note for how long the process was ready to run and did not."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        with suppress(OSError, IndexError, ValueError):
+            now, name = time.monotonic(), self.life.name
+            waited = int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[1]) / 1e9
+            before_name, before, waited_before = self.waited
+            if before_name == name and waited - waited_before > STARVED:
+                self.life.starved.append((before, now, waited - waited_before))
+            self.waited = name, now, waited
+
     def look(self) -> None:
         """Note what the process holds."""
         if self.process is None or self.process.returncode is not None:
--- a/threadhill/standin/soak/record.py
+++ b/threadhill/standin/soak/record.py
@@ -110,6 +110,8 @@
     asked_to_end_at: float = 0.0
     killed_at: float = 0.0
     stopped: list[tuple[float, float]] = field(default_factory=list)  # spans in which it stood still
+    # Spans, and the seconds of each in which it was ready to run and the machine let others run.
+    starved: list[tuple[float, float, float]] = field(default_factory=list)
     most_descriptors: int = 0
     most_memory_mb: float = 0.0
 
