--- a/threadhill/net/news_monitor.py
+++ b/threadhill/net/news_monitor.py
@@ -45,7 +45,10 @@
 
     def heartbeat(self, number: int, applied: int, now: int) -> None:
         """The service says that its last event has this number; the last one applied here has the other. A service
-        that is behind tells a lower number: it may not know all yet."""
+        that is behind tells a lower number: it may not know all yet. What another one announced is given up once that
+        must have been told."""
+        if number <= applied and now - self._announced_last > TOLD_BY:
+            self._announced = self._announced_first = 0
         if number == applied:
             self.current_at = now
         elif number > max(applied, self._announced):
--- a/threadhill/standin/ask.py
+++ b/threadhill/standin/ask.py
@@ -12,6 +12,7 @@
 import typer
 
 from threadhill.settings import Malformed, address
+from threadhill.standin.resp import message, read_array
 from threadhill.standin.servers import body_of
 
 Answer = tuple[str, dict[str, str], bytes]
@@ -44,8 +45,7 @@
 
     def send(self, *words: bytes) -> asyncio.Future[Answer]:
         tag = next(self.tags)
-        parts = [words[0], b"%d" % tag, *words[1:]]
-        self.transport.write(b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(p), p) for p in parts))
+        self.transport.write(message(words[0], b"%d" % tag, *words[1:]))
         future = self.waiting[tag] = asyncio.get_running_loop().create_future()
         return future
 
@@ -56,7 +56,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.buffer += data
-        while (found := _array(self.buffer)) is not None:
+        while (found := read_array(self.buffer)) is not None:
             words, size = found
             self.buffer = self.buffer[size:]
             future = self.waiting.pop(int(words[0]), None)
@@ -72,24 +72,6 @@
             self.transport.close()
 
 
-def _array(data: bytes) -> tuple[list[bytes], int] | None:
-    """The first whole array of bulk strings, and its length."""
-    end = data.find(b"\r\n")
-    if end < 0:
-        return None
-    words, at = [], end + 2
-    for _ in range(int(data[1:end])):
-        end = data.find(b"\r\n", at)
-        if end < 0:
-            return None
-        size = int(data[at + 1 : end])
-        if len(data) < end + 4 + size:
-            return None
-        words.append(data[end + 2 : end + 2 + size])
-        at = end + 4 + size
-    return words, at
-
-
 def ask(proxy: str, cls: str, obj: str, part: int, count: int, budget: int, tenant: str, json: bool) -> int:
     """Send the requests and print what came; the exit code."""
     try:
--- a/threadhill/standin/soak/clients.py
+++ b/threadhill/standin/soak/clients.py
@@ -7,34 +7,12 @@
 import time
 from collections.abc import Callable
 
+from threadhill.standin.resp import message, read_array
 from threadhill.standin.soak.record import ClientAnswer, ClientRequest
 
 CROSSES = 0.05  # seconds in which a request and the close of a resting connection may cross
 
 
-def message(*words: bytes) -> bytes:
-    """A RESP array of bulk strings."""
-    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
-
-
-def read_array(data: bytes) -> tuple[list[bytes], int] | None:
-    """The first whole array of bulk strings, and its length; None where it is not whole. ValueError: it is none."""
-    end = data.find(b"\r\n")
-    if end < 0:
-        return None
-    words, at = [], end + 2
-    for _ in range(int(data[1:end])):
-        end = data.find(b"\r\n", at)
-        if end < 0:
-            return None
-        size = int(data[at + 1 : end])
-        if len(data) < end + size + 4:
-            return None
-        words.append(data[end + 2 : end + 2 + size])
-        at = end + size + 4
-    return words, at
-
-
 class SoakClient(asyncio.Protocol):
     """One connection to one process."""
 
--- a/threadhill/standin/soak/world.py
+++ b/threadhill/standin/soak/world.py
@@ -388,9 +388,9 @@
         await proxy.watcher.move()
         known = proxy.watcher.known()
         draw = self.rng.random()
-        if draw < 0.25:
+        if draw < 0.2:
             known = self._numbered(self._events_of_a_start())
-        elif draw < 0.5:
+        elif draw < 0.6:
             known = self._numbered(proxy.history)
         proxy.configure(known)
         proxy.send(signal.SIGHUP)
