--- a/threadhill/standin/soak/deployment.py
+++ b/threadhill/standin/soak/deployment.py
@@ -140,19 +140,24 @@
     processes = rng.choice([1, 2, 4, 6, 6, 8, 12])
     acts = [(rng.uniform(2, LENGTH - 2), act) for act in
             rng.choices(list(Act), weights=[WEIGHTS.get(act, 1) for act in Act], k=rng.choice([8, 20, 30, 40]))]
-    if rng.random() < 0.25:  # quiet but for watches that fall silent, and drains that nobody hears of then
-        calm = [Act.PURGE, Act.PURGES_IN_A_ROW, Act.SLOW_FILLS, Act.RESET]
-        acts = [(rng.uniform(2, LENGTH - 2), rng.choice(calm)) for _ in range(8)]
-        acts += [(rng.uniform(2, 4), Act.SILENT_WATCH)] + [(rng.uniform(4, 7), Act.DRAIN) for _ in range(3)]
-    elif rng.random() < 0.7:  # a purge of most groups, and then what a release is likely to bring with it
+    scene = rng.random()
+    calm = [(rng.uniform(2, LENGTH - 2), rng.choice([Act.PURGE, Act.PURGES_IN_A_ROW, Act.SLOW_FILLS, Act.RESET]))
+            for _ in range(8)]
+    if scene < 0.2:  # quiet but for watches that fall silent, and drains that nobody hears of then
+        acts = calm + [(rng.uniform(2, 4), Act.SILENT_WATCH)] + [(rng.uniform(4, 7), Act.DRAIN) for _ in range(3)]
+    elif scene < 0.4:  # cold servers under load, told to all
+        acts = calm + [(rng.uniform(2, 5), Act.COLD) for _ in range(2)]
+    elif scene < 0.85:  # a purge of most groups, and then what a release is likely to bring with it
         at = rng.uniform(4, LENGTH - 9)
         acts += [(at, Act.FLUSH), (at + rng.uniform(0.05, 0.7), Act.KILL), (at + rng.uniform(4, 6), Act.SILENT_WATCH),
                  (at + rng.uniform(6, 8), Act.RELOAD)]
+    cold = 0.2 <= scene < 0.4
     return Deployment(
-        seed, classes, processes, caches=rng.randint(3, 9), parents=rng.randint(1, 3),
+        seed, classes, processes, caches=3 if cold else rng.randint(3, 9), parents=rng.randint(1, 3),
         rate=min(240.0, processes * rng.uniform(15, 30)), objects=rng.choice([40, 200]), groups=32,
         purge_slack=rng.choice([0.3, 0.5]), purge_takes=rng.choice([2.0, 6.0, 6.0, 15.0]),
-        drain_grace=rng.choice([0.25, 0.5]), start_share=rng.uniform(0.06, 0.3), ramp=rng.uniform(8, 20),
-        fall_multiple=rng.choice([1.5, 2.0, 2.5]), fall_window=3.0, news_delay=rng.uniform(0.03, 0.36),
+        drain_grace=rng.choice([0.25, 0.5]), start_share=rng.uniform(0.06, 0.12 if cold else 0.3),
+        ramp=rng.uniform(16 if cold else 8, 20),
+        fall_multiple=1.5 if cold else rng.choice([1.5, 2.0, 2.5]), fall_window=3.0, news_delay=rng.uniform(0.03, 0.36),
         heartbeat_object=rng.random() < 0.5, heartbeat_first=rng.random() < 0.5, joins_old_fills=rng.random() < 0.7,
         crowd=rng.choice([0, 0, 0, 60]), descriptors=rng.choice([256, 640, 1024]), acts=tuple(sorted(acts)))
--- a/threadhill/standin/soak/world.py
+++ b/threadhill/standin/soak/world.py
@@ -354,8 +354,13 @@
         life = proxy.life
         if not life.serving_at or life.asked_to_end_at or life.ended_at:
             return
+        series = self.rng.random() < 0.4
+        if series:
+            proxy.send(signal.SIGHUP)
         life.asked_to_end_at = time.monotonic()
         proxy.send(signal.SIGTERM)
+        if series:
+            self._spawn(self._signals_meanwhile(proxy, life))
         kill_at = life.asked_to_end_at + self.deployment.kill_after
         while not life.ended_at and time.monotonic() < kill_at:
             await asyncio.sleep(0.01)
@@ -364,6 +369,14 @@
             proxy.send(signal.SIGKILL)
         await self._start_again(proxy, life)
 
+    async def _signals_meanwhile(self, proxy: Proxy, life: ProcessLife) -> None:
+        """Further signals to a process that is ending: another end, a new configuration, a look."""
+        for signum in self.rng.sample([signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1], 3):
+            await asyncio.sleep(self.rng.uniform(0.01, 0.5))
+            if life.ended_at or proxy.life is not life:
+                return
+            proxy.send(signum)
+
     async def _kill(self, proxy: Proxy) -> None:
         life = proxy.life
         if not life.serving_at or life.asked_to_end_at or life.killed_at or life.ended_at:
@@ -390,7 +403,7 @@
         draw = self.rng.random()
         if draw < 0.2:
             known = self._numbered(self._events_of_a_start())
-        elif draw < 0.6:
+        elif draw < 0.7 and proxy.starts > 1:
             known = self._numbered(proxy.history)
         proxy.configure(known)
         proxy.send(signal.SIGHUP)
