--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -90,7 +90,8 @@
            'Ended(ENDS[word], body, fields.get("ver", ""), word == "current" or bool(self.pool.caches.attempts[attempt].order.ask.seen),',
            (Rule.FALSE_CURRENT, Rule.SPOILT)),
     Mutant("timers of requests never fire", "decision/choice.py", "        if job is not None and self.now >= job.deadline - ANSWER_EARLY:\n",
-           "        if False:\n", (Rule.LOST,)),
+           "        if False:\n", (Rule.LOST,),
+           (("decision/choice.py", "        job.limit = limit\n", "        limit = 0\n        job.limit = limit\n"),)),
 )
 
 
