Take out what nothing calls in the soak, and a promise that it does not keep

Read over: Proxy.gone and idle, NOT_JUDGED, a client's lost callback and two unused arguments had no caller; a doc string said that requests crossed by a close are sent again, which they are not (they are excused). The trace's look-up builds its set once.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -27,7 +27,6 @@
 ROOT = Path(__file__).resolve().parent.parent
 SEEDS_MOST, JOBS_MOST = 10_000, 8
 SEED_TIMEOUT = 150  # seconds after which a seed is not judged
-NOT_JUDGED = "not judged"
 
 
 @dataclass
@@ -54,7 +53,7 @@
     served = sum(any(answer.word == "200" for answer in one.answers) for one in record.requests.values())
     return SeedResult(seed, len(record.requests), served,
                       [{"rule": b.rule.value, "process": b.process, "why": b.why} for b in breaches],
-                      [report.timeline(deployment, record, breach, logs) for breach in breaches[:5]])
+                      [report.timeline(record, breach, logs) for breach in breaches[:5]])
 
 
 def play_apart(seed: int, root: Path) -> SeedResult:
--- a/threadhill/core/trace.py
+++ b/threadhill/core/trace.py
@@ -48,7 +48,8 @@
 
     def about(self, *keys: object) -> str:
         """The entries of a request, an object or a group, as one line of JSON."""
-        return self._told([entry for entry in self._entries if not set(keys).isdisjoint(entry[2][:2])])
+        wanted = set(keys)
+        return self._told([entry for entry in self._entries if not wanted.isdisjoint(entry[2][:2])])
 
     def lately(self, now: int) -> str:
         """The newest entries, as one line of JSON."""
--- a/threadhill/standin/soak/clients.py
+++ b/threadhill/standin/soak/clients.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable
 
 from threadhill.standin.resp import message, read_array
 from threadhill.standin.soak.record import ClientAnswer, ClientRequest
@@ -16,10 +15,9 @@
 class SoakClient(asyncio.Protocol):
     """One connection to one process."""
 
-    def __init__(self, process: str, copies: dict[tuple[str, int], str], lost: Callable[[ClientRequest], None]) -> None:
-        """`copies`: tags of copies that this client holds; `lost` is told of requests that a close of the process
-        crossed, which are sent again once."""
-        self.process, self.copies, self.lost = process, copies, lost
+    def __init__(self, process: str) -> None:
+        self.process = process
+        self.copies: dict[tuple[str, int], str] = {}  # object and part -> tag of the copy that this client holds
         self.transport: asyncio.Transport | None = None
         self.open: dict[int, ClientRequest] = {}
         self.answered: dict[int, ClientRequest] = {}
@@ -28,7 +26,6 @@
         self.gone = False  # this side has left
         self.ended = False
         self._buffer = b""
-        self._broken = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -74,7 +71,6 @@
                 self._buffer = self._buffer[size:]
                 self._take(words)
         except (ValueError, IndexError):
-            self._broken = True
             for request in self.open.values():
                 request.answers.append(ClientAnswer(time.monotonic(), "unreadable", False, b""))
 
@@ -103,4 +99,3 @@
             if not self.gone:
                 request.closed_at = now
                 request.crossed = request.crossed and len(self.open) == 1 and now - request.sent_at <= CROSSES
-                self.lost(request)
--- a/threadhill/standin/soak/proxy.py
+++ b/threadhill/standin/soak/proxy.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Program:
-    """How a process is started: the command before a table of shims, in which folder, and who opens the table."""
+    """How a process is started: the command before a table of shims, and in which folder."""
 
     command: tuple[str, ...]
     root: Path
@@ -67,7 +67,6 @@
     port: int = 0
     starts: int = 0
     clients: list[SoakClient] = field(default_factory=list)
-    idle: list[SoakClient] = field(default_factory=list)
     waited: tuple[str, float, float] = ("", 0.0, 0.0)  # process, when it was looked at, its waiting for a processor
     history: list[dict[str, Any]] = field(default_factory=list)  # contents of all events since the first start
 
@@ -135,8 +134,8 @@
 
     async def connect(self) -> SoakClient:
         """A new connection of a client."""
-        make = lambda: SoakClient(self.life.name, {}, lambda request: None)  # noqa: E731 -- a factory
-        _, client = await asyncio.get_running_loop().create_connection(make, "127.0.0.1", self.port)
+        loop = asyncio.get_running_loop()
+        _, client = await loop.create_connection(lambda: SoakClient(self.life.name), "127.0.0.1", self.port)
         return client
 
     def send(self, signum: signal.Signals) -> None:
@@ -144,11 +143,6 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signum)
 
-    async def gone(self) -> None:
-        """Wait until its process has ended."""
-        while not self.life.ended_at:
-            await asyncio.sleep(0.005)
-
     def look_at_waiting(self) -> None:
         """Note for how long the process was ready to run and did not."""
         if self.process is None or self.process.returncode is not None:
--- a/threadhill/standin/soak/report.py
+++ b/threadhill/standin/soak/report.py
@@ -6,7 +6,6 @@
 from collections.abc import Mapping
 from typing import Any
 
-from threadhill.standin.soak.deployment import Deployment
 from threadhill.standin.soak.judge import Breach
 from threadhill.standin.soak.record import ClientRequest, Record
 
@@ -22,7 +21,7 @@
     return f"seed {result['seed']}: {result['requests']} requests, {result['served']} served: {rules}"
 
 
-def timeline(deployment: Deployment, record: Record, breach: Breach, logs: Mapping[str, str]) -> str:
+def timeline(record: Record, breach: Breach, logs: Mapping[str, str]) -> str:
     """All that is known of one breach, in the order of time, and how to play its seed again."""
     def at(time: float) -> str:
         return f"{time - record.began:8.3f}"
