Review case 1: idle connections to cache servers leave none for clients

Cause: a server without a connection always gets one, whatever the limit of connections to cache servers says, and nothing closes an idle one when another descriptor is needed. With many cache servers the process fills its descriptors and accepts no client for seconds.

--- a/review/rig.py
+++ b/review/rig.py
@@ -119,6 +119,7 @@
     ):
         self.case, self.name, self.config, self.folder, self.listener = case, name, config, folder, listener
         self.process: asyncio.subprocess.Process | None = None
+        self.descriptors = 0  # the platform's limit, if it is to be set for the process
         self.management = ""
         case.proxies.append(self)
 
@@ -139,6 +140,8 @@
             self.management = environment["LB_MANAGEMENT"] = self.config["management"]
         if self.listener is not None:
             environment["LB_LISTEN_FD"] = "7"
+        if self.descriptors:
+            line = f"ulimit -n {self.descriptors} && {line}"
         command, given = ["/bin/sh", "-c", line], ()
         if self.listener is not None:
             given = (self.listener.fileno(),)
