--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Half of the groups are purged at once and a cache server drains, while the journal service is slow to tell it."""
+"""A fleet of sixteen times the cache servers, and clients that move to this proxy: does each request get its answer?"""
 
 from __future__ import annotations
 
@@ -10,68 +10,103 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from rig import TROUBLE, Case, Client, Journal, Proxy, Server, configuration, free_port, main, new_id, settings, unix_ms
+from rig import TROUBLE, Case, Client, Journal, Proxy, Server, configuration, free_port, main, new_id, settings
 
-TOLD = 7.0  # seconds after which what the journal service has counts as told
-GRACE = 0.25 + 0.05  # `drain-grace` of the settings, and what the protocol page adds to every limit
-GROUPS = 130  # of 256 that are purged at once: 51%
-PACE = 25.0  # events a second that the slow service writes to a connection: all are out after 5.3 s
-WAIT = 0.2  # seconds that the slow service takes until it serves a new connection
-LOAD = 60  # requests a second
-WATCHED = 14.0  # seconds for which the drained server is watched after the drain
+CACHES = 304 if TROUBLE else 19  # cache servers of the proxy's zone: sixteen times as many, or the usual number
+SOCKETS = 256  # descriptors that the process may hold: the least that the pages name
+STEADY = 10  # clients that are there all the time
+RATE = 40  # requests a second of those clients together
+MOVED = 70  # clients that come later, so that 80 are there: under a third of the descriptor limit
+WITHIN = 2.0  # seconds in which they come
+QUIET = 26.0  # seconds before they come
+BUDGET = 3_000  # milliseconds: the class's give-up time
+LATE = 0.5 + 0.05  # seconds after its time from which on a request without an answer is lost, and the sockets' slack
 
 
-async def load(case: Case, address: str, stop: asyncio.Event) -> None:
-    client, count = None, 0
-    things = [f"{random.getrandbits(64):016x}" for _ in range(300)]
+class Ask:
+    """One request and when it was written."""
+
+    def __init__(self, client: Client, rid: str) -> None:
+        self.client, self.rid, self.at = client, rid, time.monotonic()
+        self.answered = 0.0
+
+
+async def ask(case: Case, client: Client, asks: list[Ask]) -> bool:
+    """Send one request and wait for its answer, as long as it can still be owed."""
+    one = Ask(client, new_id())
+    asks.append(one)
+    client.ask("art-pages", one.rid, BUDGET, f"{random.getrandbits(64):016x}", n=0, shard=random.randrange(256), mem=60)
+    if await client.answer(one.rid, BUDGET / 1e3 + LATE) is None:
+        return False
+    one.answered = time.monotonic()
+    return True
+
+
+async def stays(case: Case, address: str, name: str, asks: list[Ask], stop: asyncio.Event) -> None:
+    """A client that asks again and again, on a new connection after some requests."""
     while not stop.is_set():
-        if client is None or client.ended or count % 50 == 0:
-            client = await Client.connect(case, address, f"c{count}")
-        count += 1
-        client.ask("art-pages", new_id(), 3000, random.choice(things), n=0, shard=random.randrange(256), mem=60)
-        await asyncio.sleep(1 / LOAD)
+        client = await Client.connect(case, address, name)
+        for _ in range(20):
+            if stop.is_set() or not await ask(case, client, asks):
+                break
+            await asyncio.sleep(STEADY / RATE)
+        client.close()
+
+
+async def comes(case: Case, address: str, name: str, asks: list[Ask], after: float) -> None:
+    """A client that comes from elsewhere, asks some times and goes."""
+    await asyncio.sleep(after)
+    client = await Client.connect(case, address, name)
+    for _ in range(3):
+        if not await ask(case, client, asks):
+            break
+        await asyncio.sleep(random.uniform(0.3, 0.9))
+    client.close()
 
 
 async def scenario(case: Case) -> None:
-    caches = [Server(case, f"s-0000000{i}", "standard", "edge-1") for i in range(1, 6)]
-    parent, origin = Server(case, "s-000000b1", "parent", "sierra"), Server(case, "s-000000c1", "origin", "sierra")
+    caches = [Server(case, f"s-{i:08x}", "standard", "edge-1") for i in range(1, CACHES + 1)]
+    parent, origin = Server(case, "s-0000f0b1", "parent", "sierra"), Server(case, "s-0000f0c1", "origin", "sierra")
     servers = [*caches, parent, origin]
     for server in servers:
+        server.quiet = True
         await server.start()
     journal = Journal(case)
     await journal.start()
     journal.hosts(*(server.member() for server in servers), complete=True)
-    config = configuration(journal, settings(), free_port())
+    config = configuration(journal, settings(), free_port(), sockets=SOCKETS)
     proxy = Proxy(case, "n1", config, case.temporary)
+    proxy.descriptors = SOCKETS
     await proxy.start()
     await proxy.ready()
+    case.note(f"{CACHES} cache servers; the process may hold {SOCKETS} descriptors")
+    asks: list[Ask] = []
     stop = asyncio.Event()
-    traffic = asyncio.ensure_future(load(case, config["listen"], stop))
-    await asyncio.sleep(3)
-    if TROUBLE:
-        journal.pace, journal.wait = PACE, WAIT
-    stamp = unix_ms()
-    for group in random.sample(range(256), GROUPS):
-        journal.add({"expire": {"set": group, "stamp": stamp}})
-    drained = caches[0]
-    number = journal.hosts(drained.member("DRAINING"))
-    at = time.monotonic()
-    case.note(f"{GROUPS} groups are purged, and {drained.name} drains: event {number} is in the journal")
-    await asyncio.sleep(WATCHED)
+
+    async def watch() -> None:
+        while True:
+            held = len(os.listdir(f"/proc/{proxy.process.pid}/fd"))
+            to_servers = sum(len(server.links) for server in servers)
+            case.note(f"the process holds {held} descriptors; {to_servers} connections to cache servers")
+            await asyncio.sleep(1.0)
+
+    watching = asyncio.ensure_future(watch())
+    steady = [asyncio.ensure_future(stays(case, config["listen"], f"stays{i}", asks, stop)) for i in range(STEADY)]
+    await asyncio.sleep(QUIET)
+    case.note(f"{MOVED} clients come within {WITHIN} s")
+    coming = [comes(case, config["listen"], f"comes{i}", asks, i * WITHIN / MOVED) for i in range(MOVED)]
+    await asyncio.gather(*coming)
     stop.set()
-    await asyncio.gather(traffic, return_exceptions=True)
-    bound = at + TOLD + GRACE
-    for server in servers:
-        for when, rid, fields in server.arrivals:
-            if when > bound and (server is drained or fields.get("from") == drained.name):
-                case.broken(
-                    f"request {rid} sent to {server.name} from={fields.get('from', '')} {when - at:.2f} s after the "
-                    f"drain of {drained.name} was in the journal service"
-                )
-    sent = journal.sent.get(number)
-    case.note(f"event {number} was written {f'{sent - at:.2f} s after it was there' if sent else 'on no connection'}")
-    case.note(f"connections since: {sum(when > at for when, _ in journal.tails)}; breaches: {len(case.breaches)}")
-    case.note("log of the proxy:\n" + proxy.logged()[-3000:])
+    await asyncio.gather(*steady)
+    watching.cancel()
+    words: dict[str, int] = {}
+    for one in asks:
+        word = one.client.answers[one.rid][0] if one.answered else "none"
+        words[word] = words.get(word, 0) + 1
+        if not one.answered:
+            case.broken(f"request {one.rid} of {one.client.name} got no answer in {BUDGET / 1e3 + LATE:.2f} s")
+    case.note(f"answers: {words}; the proxy is alive: {proxy.alive()}")
+    case.note("log of the proxy:\n" + proxy.logged()[-1500:])
 
 
 main(os.path.dirname(__file__), scenario)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Some clients read 1 MB a second, with 32 requests open on a connection. Does each request get its answer?"""
+"""Half of the groups are purged at once and a cache server drains, while the journal service is slow to tell it."""
 
 from __future__ import annotations
 
@@ -10,75 +10,68 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from rig import TROUBLE, Case, Client, Journal, Proxy, Server, configuration, free_port, main, new_id, settings
+from rig import TROUBLE, Case, Client, Journal, Proxy, Server, configuration, free_port, main, new_id, settings, unix_ms
 
-SLOW_CLIENTS = 16  # of those that the proxy has; each sends its requests at once
-OPEN = 32  # requests open on a connection: the most that the protocol page allows
-BYTES = 150_000  # of an object; the protocol page allows 240,000. 32 of them take 4.8 s to read: less than the budget
-PACE = 1_000_000  # bytes a second that a slow client reads: the figure of the operators' page
-BUDGET = 5_000  # milliseconds: the class's give-up time
-RATE = 170  # requests a second to one proxy: the figure of the page on the days in service
-USUAL_RATE = 20  # requests a second of clients that read at full speed
-MEMORY_MB, SOCKETS = 96, 512  # the limits of scored days, 192 MB and 1,024 descriptors, cut by half
+TOLD = 7.0  # seconds after which what the journal service has counts as told
+GRACE = 0.25 + 0.05  # `drain-grace` of the settings, and what the protocol page adds to every limit
+GROUPS = 130  # of 256 that are purged at once: 51%
+PACE = 25.0  # events a second that the slow service writes to a connection: all are out after 5.3 s
+WAIT = 0.2  # seconds that the slow service takes until it serves a new connection
+LOAD = 60  # requests a second
+WATCHED = 14.0  # seconds for which the drained server is watched after the drain
 
 
-async def usual(
-    case: Case, address: str, things: list[str], asked: list[tuple[Client, str]], stop: asyncio.Event
-) -> None:
-    """Clients that read at full speed."""
-    clients = [await Client.connect(case, address, f"usual{i}") for i in range(4)]
+async def load(case: Case, address: str, stop: asyncio.Event) -> None:
+    client, count = None, 0
+    things = [f"{random.getrandbits(64):016x}" for _ in range(300)]
     while not stop.is_set():
-        client, rid = random.choice(clients), new_id()
-        asked.append((client, rid))
-        client.ask("clip-parts", rid, BUDGET, random.choice(things), n=random.randrange(12), shard=17, mem=375)
-        await asyncio.sleep(1 / USUAL_RATE)
+        if client is None or client.ended or count % 50 == 0:
+            client = await Client.connect(case, address, f"c{count}")
+        count += 1
+        client.ask("art-pages", new_id(), 3000, random.choice(things), n=0, shard=random.randrange(256), mem=60)
+        await asyncio.sleep(1 / LOAD)
 
 
 async def scenario(case: Case) -> None:
-    caches = [Server(case, f"s-0000000{i}", "standard", "edge-1", BYTES, 0.05) for i in range(1, 7)]
-    parent = Server(case, "s-000000b1", "parent", "sierra", BYTES, 0.05)
-    origin = Server(case, "s-000000c1", "origin", "sierra", BYTES, 0.05)
+    caches = [Server(case, f"s-0000000{i}", "standard", "edge-1") for i in range(1, 6)]
+    parent, origin = Server(case, "s-000000b1", "parent", "sierra"), Server(case, "s-000000c1", "origin", "sierra")
     servers = [*caches, parent, origin]
     for server in servers:
         await server.start()
     journal = Journal(case)
     await journal.start()
     journal.hosts(*(server.member() for server in servers), complete=True)
-    config = configuration(journal, settings(), free_port(), MEMORY_MB, SOCKETS)
+    config = configuration(journal, settings(), free_port())
     proxy = Proxy(case, "n1", config, case.temporary)
     await proxy.start()
     await proxy.ready()
-    things = [f"{random.getrandbits(64):016x}" for _ in range(100)]
-    asked: list[tuple[Client, str]] = []
     stop = asyncio.Event()
-    others = asyncio.ensure_future(usual(case, config["listen"], things, asked, stop))
-    await asyncio.sleep(2.0)
-    pace = PACE if TROUBLE else 0
-    for i in range(SLOW_CLIENTS):
-        client = await Client.connect(case, config["listen"], f"slow{i}", pace, 65_536)
-        for n in range(OPEN):
-            rid = new_id()
-            asked.append((client, rid))
-            client.ask("clip-parts", rid, BUDGET, random.choice(things), n=n % 12, shard=17, mem=375)
-        await asyncio.sleep(OPEN / RATE)
-    await asyncio.sleep(2.0)
+    traffic = asyncio.ensure_future(load(case, config["listen"], stop))
+    await asyncio.sleep(3)
+    if TROUBLE:
+        journal.pace, journal.wait = PACE, WAIT
+    stamp = unix_ms()
+    for group in random.sample(range(256), GROUPS):
+        journal.add({"expire": {"set": group, "stamp": stamp}})
+    drained = caches[0]
+    number = journal.hosts(drained.member("DRAINING"))
+    at = time.monotonic()
+    case.note(f"{GROUPS} groups are purged, and {drained.name} drains: event {number} is in the journal")
+    await asyncio.sleep(WATCHED)
     stop.set()
-    await others
-    # The time that reading takes is not counted: a missing answer counts only once its connection has ended, or when
-    # nothing more can be under way.
-    end = time.monotonic() + 2 * BUDGET / 1e3 + 2 * OPEN * BYTES / PACE
-    while time.monotonic() < end and any(rid not in client.answers and not client.ended for client, rid in asked):
-        await asyncio.sleep(0.1)
-    words: dict[str, int] = {}
-    for client, rid in asked:
-        word = client.answers[rid][0] if rid in client.answers else "none"
-        if word == "none" and rid == client.begun:
-            word = "begun, not whole"  # failed, but not lost: the client can tell
-        words[word] = words.get(word, 0) + 1
-        if word == "none":
-            case.broken(f"request {rid} of {client.name} got no answer: {client.ended or 'its connection is open'}")
-    case.note(f"answers: {words}; the proxy is alive: {proxy.alive()}")
-    case.note("log of the proxy:\n" + proxy.logged()[-1500:])
+    await asyncio.gather(traffic, return_exceptions=True)
+    bound = at + TOLD + GRACE
+    for server in servers:
+        for when, rid, fields in server.arrivals:
+            if when > bound and (server is drained or fields.get("from") == drained.name):
+                case.broken(
+                    f"request {rid} sent to {server.name} from={fields.get('from', '')} {when - at:.2f} s after the "
+                    f"drain of {drained.name} was in the journal service"
+                )
+    sent = journal.sent.get(number)
+    case.note(f"event {number} was written {f'{sent - at:.2f} s after it was there' if sent else 'on no connection'}")
+    case.note(f"connections since: {sum(when > at for when, _ in journal.tails)}; breaches: {len(case.breaches)}")
+    case.note("log of the proxy:\n" + proxy.logged()[-3000:])
 
 
 main(os.path.dirname(__file__), scenario)
