--- a/review/rig.py
+++ b/review/rig.py
@@ -74,6 +74,7 @@
 
     def run(self, scenario: Callable[[Case], Awaitable[None]], seconds: float = 110.0) -> int:
         code = 2
+        signal.signal(signal.SIGTERM, self._ended_from_outside)
         try:
             asyncio.run(self._play(scenario, seconds))
             code = 1 if self.breaches else 0
@@ -92,6 +93,13 @@
             print("  " + breach)
         return code
 
+    def _ended_from_outside(self, *_: object) -> None:
+        """SIGTERM: leave no process behind."""
+        for proxy in self.proxies:
+            proxy.kill()
+        shutil.rmtree(self.temporary, ignore_errors=True)
+        os._exit(2)
+
     async def _play(self, scenario: Callable[[Case], Awaitable[None]], seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
