Log what descriptors are used for when they run out, and at SIGUSR1

The line of a failed accept now names clients, busy and idle connections to cache servers, those being opened or closed, and the stated limit.

--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -42,6 +42,7 @@
     limits: Limits
     max_clients: int  # client connections
     max_outbound_bytes: int  # unsent answers of all client connections together
+    max_descriptors: int = 1_024  # file descriptors that the process may hold
     max_event_bytes: int = 1 << 20  # size of one journal event
     report: str | None = None  # id of this configuration, reported to the journal service if given
     management: tuple[str, int] | None = None  # the operators' address, if the platform gives one
@@ -82,6 +83,7 @@
         ),
         max_clients=clients,
         max_outbound_bytes=int(spare * OUTBOUND_SHARE),
+        max_descriptors=sockets,
         max_event_bytes=min(16 << 20, max(1 << 20, spare // 16)),
         report=text(raw["report"], "report") if raw.get("report") else None,
         management=address(management, "management") if management else None,
--- a/threadhill/net/listener.py
+++ b/threadhill/net/listener.py
@@ -129,6 +129,7 @@
         # Maps a peer's address to its group ("": none), and the limit of connections per group.
         self._group_of, self.max_per_group = group, max_per_group
         self.accept_delay: Callable[[], int] | None = None  # microseconds until the next accept is allowed; 0: now
+        self.describe_use: Callable[[], str] = lambda: ""  # what descriptors are used for, for the log of a shortage
         self._group_counts: Counter[str] = Counter()
         self.connections: dict[AcceptedConnection, None] = {}
         self._setting_up: set[asyncio.Task[None]] = set()
@@ -270,7 +271,7 @@
                 return True
             if not is_own_shortage(error):
                 raise
-            self._log(f"{self.name}: nobody taken for a while: {error}")
+            self._log(f"{self.name}: nobody taken for a while: {error}; {self.describe_use()}")
             return False
         peer.setblocking(False)
         group = self._group_of(address[0]) if self._group_of is not None else ""
--- a/threadhill/net/upstream.py
+++ b/threadhill/net/upstream.py
@@ -56,6 +56,18 @@
     handshake: float = 0.0  # cost of a new connection, in requests
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """How many connections to servers are held, by what they are used for."""
+
+    busy: int  # with at least one open attempt
+    idle: int  # open, without an attempt
+    opening_or_closing: int
+
+    def __str__(self) -> str:
+        return f"{self.busy} busy and {self.idle} idle connections to servers, {self.opening_or_closing} more in change"
+
+
 @dataclass(slots=True)
 class PendingAttempt:
     """An attempt that waits for a connection or has been sent on one."""
@@ -552,6 +564,14 @@
         up = [pool.name for pool in self.servers.values() if pool.connections and not pool.unreachable]
         return up, [pool.name for pool in self.servers.values() if pool.unreachable]
 
+    def connection_use(self) -> ConnectionUse:
+        """What the connections to servers are used for now."""
+        open_connections = [
+            connection for pool in self.servers.values() for connection in pool.connections if connection.usable
+        ]
+        busy = sum(bool(connection.open) for connection in open_connections)
+        return ConnectionUse(busy, len(open_connections) - busy, self.connection_count - len(open_connections))
+
     def ip_versions(self) -> set[int]:
         """The IP versions of ready servers' addresses."""
         if self._ip_versions is None:
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -80,6 +80,7 @@
         )
         self.caches.loop_lag = self.front.loop_lag = LoopLag(self.loop, self.clock).current_lag
         self.front.updates_pending = self.journal.lines_pending
+        self.front.listener.describe_use = self._describe_descriptors
         self.finished = asyncio.Event()
         self.dns: DnsFront | None = None
         self.overload_control: OverloadController | None = None
@@ -481,8 +482,17 @@
         else:
             self.deadlines.add(now + DRAIN_CHECK_INTERVAL, self._check_drained)
 
+    def _describe_descriptors(self) -> str:
+        """What descriptors are used for, as far as clients and cache servers are concerned."""
+        return (
+            f"descriptors: {len(self.front.listener.connections)} clients, {self.caches.connection_use()}; "
+            f"the process may hold {self.config.max_descriptors}"
+        )
+
     def log_report(self) -> None:
-        """Log the recent trace entries and then the counters, each as one line of JSON."""
+        """Log the use of descriptors, the recent trace entries and then the counters, the latter two as one line of
+        JSON each."""
+        log.event(self._describe_descriptors())
         log.write(f"trace: {self.engine.trace.recent(self.clock.now())}")
         log.write(orjson.dumps(self.stats.table()).decode())
 
