Bound the connections to all servers together, and close idle ones for others

Cause: Pool._may_dial looked at the limit of connections only for a second connection to a server; a first one was always dialled, and idle ones ended by time alone (27.5 s).

Change: net/connection_budget.py counts connections and dials of all pools. Without a free place the idle connection used least recently is closed for a pool that has none; where all are busy, pools wait in order. The limit by memory bounds further connections to a server, as before, but not idle ones. On EMFILE an accept (all fronts), a dial, the dial to discovery and a reload close idle connections. A lower limit in a new configuration closes idle connections over it.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,6 +11,7 @@
 from tests.harness import SETTINGS, ProxyHarness, until
 from tests.test_deployments import OTHER_SETTINGS
 from tests.test_proxy import run_scenario
+from tests.upstream_stub import PoolHarness
 from threadhill.core.clock import Clock
 from threadhill.core.deadlines import Deadlines
 from threadhill.core.ports import AttemptResult, AttemptSpec, ClientRequest
@@ -139,6 +140,6 @@
 @pytest.mark.parametrize(("peer", "kept"), [(30_000_000, 27_500_000), (4_000_000, 2_800_000), (1_000_000, 700_000)])
 def test_an_idle_connection_is_kept_until_shortly_before_its_peer_closes_it(peer: int, kept: int) -> None:
     """Closing early means dialling again: with 200 proxies there were 0.17 connections per request instead of 0.10."""
-    caches = CacheServers.__new__(CacheServers)
+    caches = PoolHarness().caches
     caches.set_limits(Limits(idle=peer))
     assert caches.idle_time == kept
--- a/tests/test_upstream_endings.py
+++ b/tests/test_upstream_endings.py
@@ -15,10 +15,9 @@
 from tests.harness import OBJECT, SETTINGS, Box, ProxyHarness, until
 from tests.raw_client import PendingListener, RawClient, build_request, changed_profiles
 from tests.test_proxy import run_scenario
-from tests.upstream_stub import PoolHarness, Transport
+from tests.upstream_stub import PoolHarness, Transport, receive
 from threadhill.core.ports import AttemptResult
 from threadhill.decision import interface as api
-from threadhill.net.upstream import UpstreamConnection
 
 
 def test_a_repeat_that_waits_for_its_connection_past_the_window_is_not_sent(tmp_path: Path) -> None:
@@ -65,16 +64,6 @@
     assert len(harness.results) == 1
 
 
-def receive(connection: UpstreamConnection, raw: bytes) -> None:
-    """Pass data from the server to the connection, in one piece."""
-    while raw:
-        space = connection.get_buffer(-1)
-        count = min(len(space), len(raw))
-        space[:count] = raw[:count]
-        connection.buffer_updated(count)
-        raw = raw[count:]
-
-
 def test_under_a_reset_each_attempt_ends_by_what_the_server_can_have_of_it() -> None:
     """Not yet sent: it goes on a new connection. Partly sent: it cannot have run. Completely sent, or partly answered:
     it may have run. Forced at the protocol object, as the kernel's buffers accept any request whole."""
--- a/tests/upstream_stub.py
+++ b/tests/upstream_stub.py
@@ -46,10 +46,20 @@
         return lambda *more, **named: self.calls.append(name)
 
 
+def receive(connection: UpstreamConnection, raw: bytes) -> None:
+    """Pass data from the server to the connection, in one piece."""
+    while raw:
+        space = connection.get_buffer(-1)
+        count = min(len(space), len(raw))
+        space[:count] = raw[:count]
+        connection.buffer_updated(count)
+        raw = raw[count:]
+
+
 class PoolHarness:
-    """One server's pool, whose dials succeed when the test calls `connect`."""
+    """The pools of servers numbered from 1, whose dials succeed when the test calls `connect`. `pool` is the first."""
 
-    def __init__(self) -> None:
+    def __init__(self, servers: int = 1, limits: Limits | None = None) -> None:
         self.now = 1_000_000
         self.results: list[tuple[int, AttemptResult]] = []
         engine = SimpleNamespace(
@@ -61,28 +71,34 @@
             attempt_ended=lambda attempt, end: self.results.append((attempt, end)),
         )
         self.deadlines = engine.deadlines
-        self.caches = CacheServers(engine, Limits(), lambda text: None)
+        self.caches = CacheServers(engine, limits or Limits(), lambda text: None)
         self.caches.dial = self._dial
-        self.caches.server_ready(1, "s-1", "127.0.0.1", 1)
+        for number in range(1, servers + 1):
+            self.caches.server_ready(number, f"s-{number}", "127.0.0.1", number)
         self.pool = self.caches.servers[1]
 
     def _dial(self, pool: Pool) -> None:
         pool.dialling += 1
-        self.caches.connection_count += 1
+        self.caches.budget.dial_started()
 
-    def send(self, attempt: int, source: int = 1, body: bytes = b"", **more: int) -> None:
+    def send(self, attempt: int, source: int = 1, body: bytes = b"", server: int = 1, **more: int) -> None:
         ask = ClientRequest(
             class_name="license-buy", request_id=f"{attempt:016x}", object=f"o{attempt}", time_left=1_000_000, body=body
         )
-        self.caches.send(attempt, AttemptSpec(ask, 1, source, 1_000_000, **more))
+        self.caches.send(attempt, AttemptSpec(ask, server, source, 1_000_000, **more))
 
-    def connect(self, transport: Transport | None = None) -> tuple[UpstreamConnection, Transport]:
+    def connect(self, transport: Transport | None = None, server: int = 1) -> tuple[UpstreamConnection, Transport]:
         """A dial succeeds; returns the connection and its transport."""
-        connection, transport = UpstreamConnection(self.pool), transport or Transport()
+        pool = self.caches.servers[server]
+        connection, transport = UpstreamConnection(pool), transport or Transport()
         connection.connection_made(transport)
-        self.pool.dialled(up=True)
+        pool.dialled(up=True)
         return connection, transport
 
+    def answer(self, connection: UpstreamConnection, attempt: int) -> None:
+        """The server answers this attempt."""
+        receive(connection, b"%016x ok ver=v,born=1 1\r\nx\r\n" % attempt)
+
     @property
     def outcomes(self) -> list[tuple[int, str]]:
         return [(attempt, end.outcome.value) for attempt, end in self.results]
--- a/threadhill/config.py
+++ b/threadhill/config.py
@@ -11,7 +11,7 @@
 
 from threadhill.decision import interface as api
 from threadhill.net.journal_events import Event, read_event
-from threadhill.net.upstream import CONNECTION_BYTES, Limits
+from threadhill.net.upstream import CONNECTION_BYTES, MIN_SERVER_CONNECTIONS, Limits
 from threadhill.settings import Malformed, address, integer, mapping, number, read_settings, sequence, text
 
 PROGRAM_MB = 26  # memory that the program itself uses
@@ -73,9 +73,8 @@
         ),
         journal=address(raw["journal"], "journal") if raw.get("journal") else None,
         limits=Limits(
-            descriptors=max(
-                16, min(sockets - clients - RESERVED_DESCRIPTORS, int(spare * INBOUND_SHARE) // CONNECTION_BYTES)
-            ),
+            descriptors=max(MIN_SERVER_CONNECTIONS, sockets - clients - RESERVED_DESCRIPTORS),
+            buffered=max(MIN_SERVER_CONNECTIONS, int(spare * INBOUND_SHARE) // CONNECTION_BYTES),
             streams=integer(site.get("max-streams"), "max-streams") or 32,
             idle=integer(site.get("conn-idle"), "conn-idle") or 30_000_000,
             connect_timeout=integer(site.get("connect-timeout"), "connect-timeout") or 400_000,
--- a/threadhill/dns/transport.py
+++ b/threadhill/dns/transport.py
@@ -163,6 +163,11 @@
                 max_per_group=config.per_network,
             )
 
+    @property
+    def listeners(self) -> list[Listener]:
+        """Those for streams: TCP, and TLS if there is a certificate."""
+        return [listener for listener in (self.listener, self.tls_listener) if listener is not None]
+
     async def listen(self) -> str:
         """Listen on UDP and TCP. If the port is 0, TCP uses the port that UDP was given."""
         loop = asyncio.get_running_loop()
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -133,6 +133,7 @@
                 return  # another address is followed by now
             self.log(f"journal: no connection: {error!r}")
             self.engine.stats.count("journal", "not reached")
+            self.caches.relieve_shortage(error)
             self.connecting = self.connection = None
             self._next_service()
             self._schedule_retry(self._next_retry_delay())
--- a/threadhill/net/listener.py
+++ b/threadhill/net/listener.py
@@ -129,7 +129,8 @@
         # Maps a peer's address to its group ("": none), and the limit of connections per group.
         self._group_of, self.max_per_group = group, max_per_group
         self.accept_delay: Callable[[], int] | None = None  # microseconds until the next accept is allowed; 0: now
-        self.describe_use: Callable[[], str] = lambda: ""  # what descriptors are used for, for the log of a shortage
+        # Called when accept fails for lack of local resources: frees what it can, and tells the log what is held.
+        self.relieve_shortage: Callable[[OSError], str] = lambda error: ""
         self._group_counts: Counter[str] = Counter()
         self.connections: dict[AcceptedConnection, None] = {}
         self._setting_up: set[asyncio.Task[None]] = set()
@@ -271,7 +272,7 @@
                 return True
             if not is_own_shortage(error):
                 raise
-            self._log(f"{self.name}: nobody taken for a while: {error}; {self.describe_use()}")
+            self._log(f"{self.name}: nobody taken for a while: {error}; {self.relieve_shortage(error)}")
             return False
         peer.setblocking(False)
         group = self._group_of(address[0]) if self._group_of is not None else ""
--- a/threadhill/net/upstream.py
+++ b/threadhill/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import math
 from collections import deque
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 from threadhill.core.trace import Step
 from threadhill.decision import interface as api
 from threadhill.decision.state import put_bounded
+from threadhill.net.connection_budget import ConnectionBudget
 from threadhill.net.shortage import is_own_shortage
 from threadhill.net.stream import Stream
 from threadhill.net.upstream_codec import (
@@ -31,6 +33,7 @@
 
 MAX_OUTBOUND = 256 << 10  # limit of unsent bytes per connection
 CONNECTION_BYTES = 128 << 10  # bytes of buffers estimated per connection: most answers are far smaller than the limit
+MIN_SERVER_CONNECTIONS = 16  # lower bound of the limits on connections to all servers together
 MIN_IDLE_SHARE = 0.7  # share of the peer's idle timeout for which a connection is always kept
 IDLE_MARGIN = 2_500_000  # microseconds before the peer's close: checks run once a second, links delay up to 1.5 s
 MAX_CANCELLED = 64  # cancelled ids on a connection after which it is closed once idle
@@ -42,6 +45,7 @@
 NEW_CONNECTION_TIME = 1_000_000  # microseconds for which an unused connection counts as newly dialled
 IDLE_CUT_MEMORY = 60_000_000  # microseconds for which a cut of an idle connection is remembered
 MIN_SILENCE = 100_000  # microseconds: an attempt cancelled sooner says nothing about its connection
+SHORTAGE_RELEASE = 16  # idle connections closed at once when the process has no descriptor left
 STALL_TIMEOUT = 500_000  # microseconds without progress in the middle of an answer after which the rest is given up
 
 
@@ -49,25 +53,14 @@
 class Limits:
     """Limits from the configuration and the machine's resources; times in microseconds."""
 
-    descriptors: int = 640
+    descriptors: int = 640  # connections to all servers together
+    buffered: int = 640  # connections whose answers fit into memory at the same time
     streams: int = 32
     idle: int = 30_000_000
     connect_timeout: int = 400_000
     handshake: float = 0.0  # cost of a new connection, in requests
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionUse:
-    """How many connections to servers are held, by what they are used for."""
-
-    busy: int  # with at least one open attempt
-    idle: int  # open, without an attempt
-    opening_or_closing: int
-
-    def __str__(self) -> str:
-        return f"{self.busy} busy and {self.idle} idle connections to servers, {self.opening_or_closing} more in change"
-
-
 @dataclass(slots=True)
 class PendingAttempt:
     """An attempt that waits for a connection or has been sent on one."""
@@ -106,6 +99,14 @@
     def ended(self) -> None:
         self.pool.lost(self)
 
+    def close(self) -> None:
+        self.pool.caches.budget.connection_not_idle(self)
+        super().close()
+
+    def abort(self) -> None:
+        self.pool.caches.budget.connection_not_idle(self)
+        super().abort()
+
     def fault(self, trace: str) -> None:
         self.pool.caches.engine.stats.count("fault", "server")
         self.pool.caches.log(f"{self.pool.name}: {trace}")
@@ -238,9 +239,9 @@
 
     def send(self, attempt: int) -> None:
         self.waiting.append(attempt)
-        self._flush()
+        self.flush()
 
-    def _flush(self) -> None:
+    def flush(self) -> None:
         """Send waiting attempts in order, as far as connections are available, and dial for the rest. After a delay of
         the event loop this waits for the next iteration: journal events that arrived meanwhile are applied first, and
         return the attempts they affect."""
@@ -268,38 +269,44 @@
         if self.waiting:
             spec = self.caches.attempts[self.waiting[0]].spec
             while self.ready and self.dialling < len(self.waiting) and self._may_dial(spec):
+                self.caches.budget.make_room(self)
                 self.caches.dial(self)
+            if self.ready and self._has_no_connection(spec):
+                self.caches.budget.wait(self)
 
     def _deferred_flush(self) -> None:
         self._flush_deferred = False
-        self._flush()
+        self.flush()
 
     def _eligible(self, spec: AttemptSpec) -> list[UpstreamConnection]:
         """Connections that this attempt may use. An attempt that must not run twice avoids those that may be cut while
         it is written, unless no new one can be dialled either."""
         eligible = [connection for connection in self.connections if connection.usable]
-        if (
-            spec.at_most_once
-            and not self.last_dial_failed
-            and self.caches.connection_count < self.caches.limits.descriptors
-        ):
+        if spec.at_most_once and not self.last_dial_failed and self.caches.budget.available(self):
             return [connection for connection in eligible if connection.recently_active()]
         return eligible
 
     def _may_dial(self, spec: AttemptSpec) -> bool:
-        """Whether to open one more connection for this attempt: only within the limits per server and of descriptors,
-        and if sharing the existing ones would cost more. A server without any usable connection always gets one."""
+        """Whether to open one more connection for this attempt: only if there is a place for it, or an idle connection
+        that can be closed for it. A further one to the same server is also subject to the limits per server and of
+        memory, and is not opened if sharing the existing ones costs less."""
         eligible = self._eligible(spec)
         total = len(eligible) + self.dialling
         if not total:
-            return True
+            return self.caches.budget.available(self)
         if self.dialling or any(
             not connection.slow and not connection.has_carried(spec.request.request_id) for connection in eligible
         ):
             shared = sum(len(connection.open) for connection in eligible) + len(self.waiting)
             if shared * SHARING_COST < total * self.caches.limits.handshake:
                 return False
-        return total < self.caches.max_pool_size and self.caches.connection_count < self.caches.limits.descriptors
+        return (
+            total < self.caches.max_pool_size and self.caches.may_buffer_more() and self.caches.budget.available(self)
+        )
+
+    def _has_no_connection(self, spec: AttemptSpec) -> bool:
+        """Whether this attempt has no connection to wait for, and none is being dialled."""
+        return not self.dialling and not self._eligible(spec)
 
     def _pick(self, spec: AttemptSpec) -> UpstreamConnection | None:
         """The idle connection used last; if there is none and no dial is allowed, the one with the fewest attempts."""
@@ -345,6 +352,7 @@
         )
         self.caches.engine.deadlines.cancel(pending.deadline)
         connection.open[pending.spec.request.request_id] = attempt
+        self.caches.budget.connection_not_idle(connection)
         self.caches.engine.stats.count("relayed", pending.spec.request.class_name)
         self.caches.engine.stats.count("bytes_out", "servers", len(body))
         return True
@@ -356,18 +364,25 @@
         connection.last_received = connection.idle_since = self.caches.engine.clock.now()
         if not self.ready:  # the server has started draining or gone since it was dialled
             connection.close()
+        else:
+            self.caches.budget.connection_idle(connection)
 
     def attempt_done(self, connection: UpstreamConnection) -> None:
         """An attempt on this connection ended: send the next waiting one."""
         connection.idle_since = self.caches.engine.clock.now()
-        self._flush()
-        if not connection.open and (not self.ready or len(connection.cancelled_ids) > MAX_CANCELLED):
+        self.flush()
+        if connection.open or connection.closing_since:
+            return
+        if not self.ready or len(connection.cancelled_ids) > MAX_CANCELLED:
             connection.close()
+        else:
+            self.caches.budget.connection_idle(connection)
 
     def lost(self, connection: UpstreamConnection) -> None:
-        if connection in self.connections:
+        self.caches.budget.connection_not_idle(connection)
+        counted = connection in self.connections
+        if counted:
             self.connections.remove(connection)
-            self.caches.connection_count -= 1
         self.caches.engine.stats.count("connection", "closed")
         attempts, connection.open = list(connection.open.values()), {}
         self.caches.engine.trace.add(self.caches.engine.clock.now(), Step.CONNECTION_LOST, self.name, len(attempts))
@@ -377,14 +392,21 @@
             pending = self.caches.attempts.get(attempt)
             may_have_run = pending is None or connection.fully_sent(pending.end_offset)
             self.caches.ended(attempt, AttemptResult(api.Outcome.BROKEN if may_have_run else api.Outcome.UNREACHED))
-        self._flush()
+        if counted:
+            self.caches.budget.place_freed()
+        self.flush()
+
+    def dial_again(self) -> None:
+        """A dial failed for lack of a descriptor, and descriptors are being freed."""
+        self.dialling -= 1
+        self.flush()
 
     def dial_shortage(self) -> None:
         """A dial failed for lack of local resources, which says nothing about the server. Return waiting attempts."""
         self.dialling -= 1
         while len(self.waiting) > self.dialling:
             self.caches.ended(self.waiting.popleft(), AttemptResult(api.Outcome.SHORTAGE))
-        self._flush()
+        self.flush()
 
     def dialled(self, up: bool) -> None:
         """A dial ended. If it failed and no connection is usable, waiting attempts beyond the pending dials fail."""
@@ -394,7 +416,7 @@
         no_connection = not up and not any(connection.usable for connection in self.connections)
         while no_connection and len(self.waiting) > self.dialling:
             self.caches.ended(self.waiting.popleft(), AttemptResult(api.Outcome.UNREACHED))
-        self._flush()
+        self.flush()
 
     def retire(self) -> None:
         """The server is draining or gone: nothing more may be sent to it."""
@@ -419,11 +441,11 @@
     def __init__(self, engine: Engine, limits: Limits, log: Callable[[str], None]) -> None:
         self.engine, self.log = engine, log
         self.loop_lag: Callable[[], int] = lambda: 0  # microseconds of event loop delay before this iteration
+        self.budget = ConnectionBudget(limits.descriptors)
         self.set_limits(limits)
         self.servers: dict[int, Pool] = {}  # servers of the list; the pool of a removed one closes by itself
         self.attempts: dict[int, PendingAttempt] = {}
         self._ip_versions: set[int] | None = None  # cache of `ip_versions`, which every DNS query reads
-        self.connection_count = 0  # connections and pending dials, including those of retired pools
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle_cut: tuple[int, int] | None = None  # shortest idle time after which a connection was cut, and when
         self._close_idle_connections()
@@ -431,13 +453,13 @@
     def set_limits(self, limits: Limits) -> None:
         """Apply new limits."""
         self.limits, self.streams = limits, limits.streams
+        self.budget.set_limit(limits.descriptors)
         self.idle_time = max(int(limits.idle * MIN_IDLE_SHARE), limits.idle - IDLE_MARGIN)
 
     def _close_idle_connections(self) -> None:
         """Close connections before the peer's idle timeout: a request that crosses the peer's close is lost."""
         now = self.engine.clock.now()
-        for pool in self.servers.values():
-            pool.close_idle(now - self.idle_time)
+        self.budget.close_idle_since(now - self.idle_time)
         self.engine.deadlines.add(now + 1_000_000, self._close_idle_connections)
 
     def note_cut(self, sent_at: int, last_received: int) -> None:
@@ -459,8 +481,17 @@
 
     @property
     def max_pool_size(self) -> int:
-        """Limit of connections per server: the available descriptors, shared evenly among servers."""
-        return max(2, min(MAX_POOL, self.limits.descriptors // (len(self.servers) + 2)))
+        """Limit of connections per server: what all may have, shared evenly among servers."""
+        limit = min(self.limits.descriptors, self.limits.buffered)
+        return max(2, min(MAX_POOL, limit // (len(self.servers) + 2)))
+
+    def may_buffer_more(self) -> bool:
+        """Whether the answers of one more connection fit into memory."""
+        return self.budget.count < self.limits.buffered
+
+    def relieve_shortage(self, error: OSError) -> bool:
+        """Close some idle connections if this process has no descriptor left; returns whether any was closed."""
+        return error.errno == errno.EMFILE and self.budget.release(SHORTAGE_RELEASE) > 0
 
     # --- the port
 
@@ -564,14 +595,6 @@
         up = [pool.name for pool in self.servers.values() if pool.connections and not pool.unreachable]
         return up, [pool.name for pool in self.servers.values() if pool.unreachable]
 
-    def connection_use(self) -> ConnectionUse:
-        """What the connections to servers are used for now."""
-        open_connections = [
-            connection for pool in self.servers.values() for connection in pool.connections if connection.usable
-        ]
-        busy = sum(bool(connection.open) for connection in open_connections)
-        return ConnectionUse(busy, len(open_connections) - busy, self.connection_count - len(open_connections))
-
     def ip_versions(self) -> set[int]:
         """The IP versions of ready servers' addresses."""
         if self._ip_versions is None:
@@ -586,7 +609,7 @@
 
     def dial(self, pool: Pool) -> None:
         pool.dialling += 1
-        self.connection_count += 1
+        self.budget.dial_started()
         task = asyncio.get_running_loop().create_task(self._dial(pool))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -601,8 +624,10 @@
             self.engine.stats.count("connection", "failed")
             self.log(f"{pool.name}: no connection: {error!r}")
             if not connection.counted:
-                self.connection_count -= 1
-            if is_own_shortage(error):
+                self.budget.place_freed()
+            if self.relieve_shortage(error):
+                pool.dial_again()
+            elif is_own_shortage(error):
                 pool.dial_shortage()
             else:
                 pool.dialled(up=False)
--- a/threadhill/serve.py
+++ b/threadhill/serve.py
@@ -26,7 +26,7 @@
 from threadhill.net.resp import RespFront
 from threadhill.net.runtime import LoopRuntime
 from threadhill.net.shortage import READ_AGAIN, START_PATIENCE
-from threadhill.net.upstream import CacheServers, Limits
+from threadhill.net.upstream import MIN_SERVER_CONNECTIONS, CacheServers, Limits
 from threadhill.settings import Malformed
 
 if TYPE_CHECKING:  # imported only where the operator's file enables them, to save memory
@@ -80,7 +80,7 @@
         )
         self.caches.loop_lag = self.front.loop_lag = LoopLag(self.loop, self.clock).current_lag
         self.front.updates_pending = self.journal.lines_pending
-        self.front.listener.describe_use = self._describe_descriptors
+        self.front.listener.relieve_shortage = self._relieve_shortage
         self.finished = asyncio.Event()
         self.dns: DnsFront | None = None
         self.overload_control: OverloadController | None = None
@@ -106,7 +106,7 @@
         reserved = dns.connections * (2 if dns.tls is not None else 1) if dns is not None else 0
         reserved += MAX_ADMIN_CONNECTIONS if admin is not None else 0
         reserved += MAX_MANAGEMENT_CONNECTIONS if config.management is not None else 0
-        return replace(config.limits, descriptors=max(16, config.limits.descriptors - reserved))
+        return replace(config.limits, descriptors=max(MIN_SERVER_CONNECTIONS, config.limits.descriptors - reserved))
 
     async def run(self) -> None:
         """Serve until told to stop and all accepted requests are answered."""
@@ -241,6 +241,8 @@
             server = DnsServer(front, log)
         except Malformed as error:
             raise BadConfig(f"dns.tls: {error}") from None
+        for listener in server.listeners:
+            listener.relieve_shortage = self._relieve_shortage
         log.write(f"dns: serving on {await server.listen()}")
         if config.tls is not None:
             log.write(f"dns tls: serving on {await server.listen_tls()}")
@@ -287,6 +289,7 @@
             lambda listener: HttpConnection(token, api, listener),
             log,
         )
+        listener.relieve_shortage = self._relieve_shortage
         host = config.listen[0]
         log.write(f"admin: serving on {host}:{await listener.listen(*config.listen)}")
 
@@ -349,6 +352,7 @@
         self.cordon_file = CordonFile(Path(tempfile.gettempdir()), log)
         self._load_cordons()
         listener = management_listener(self.engine, self, log, MAX_MANAGEMENT_CONNECTIONS)
+        listener.relieve_shortage = self._relieve_shortage
         log.write(f"management: serving on {where[0]}:{await listener.listen(*where)}")
 
     def _load_cordons(self) -> None:
@@ -415,6 +419,8 @@
             new = load(environ)
         except UnreadableConfig as error:  # possibly temporary: no free descriptors, a disk error
             self.stats.count("reload", "put off")
+            if isinstance(error.__cause__, OSError):
+                self.caches.relieve_shortage(error.__cause__)
             if self._reload_retry is None:
                 log.event(f"reload: {error}; everything stays as it is, it is tried again until it can be read")
             self._reload_retry = self.deadlines.add(
@@ -482,10 +488,16 @@
         else:
             self.deadlines.add(now + DRAIN_CHECK_INTERVAL, self._check_drained)
 
+    def _relieve_shortage(self, error: OSError) -> str:
+        """Accepting failed for lack of resources: free descriptors if that helps. Returns what is held, for the log."""
+        held = self._describe_descriptors()
+        self.caches.relieve_shortage(error)
+        return held
+
     def _describe_descriptors(self) -> str:
         """What descriptors are used for, as far as clients and cache servers are concerned."""
         return (
-            f"descriptors: {len(self.front.listener.connections)} clients, {self.caches.connection_use()}; "
+            f"descriptors: {len(self.front.listener.connections)} clients, {self.caches.budget.use()}; "
             f"the process may hold {self.config.max_descriptors}"
         )
 
