Start the drill of the SIGINT test with SIGINT's default action

Such a shell has its background processes ignore SIGINT; the drill inherits that and goes on, until its stopped proxy counts as not started after 60 s. The test now gives the drill the default action; what it asks for is as before.

--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -110,6 +110,8 @@
 
 
 async def command(*words: str) -> asyncio.subprocess.Process:
+    """Start a drill in a session of its own. A shell that runs the tests in the background has them ignore SIGINT,
+    which the drill would inherit."""
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -118,6 +120,7 @@
         *words,
         cwd=ROOT,
         start_new_session=True,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.default_int_handler),
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
         env=dict(os.environ),
