--- a/threadhill/net/journal_monitor.py
+++ b/threadhill/net/journal_monitor.py
@@ -36,6 +36,11 @@
         # When the first and the last pending event were announced.
         self._first_announced_at = self._last_announced_at = 0
 
+    @property
+    def announced(self) -> int:
+        """The greatest number that was announced and has not arrived; 0: none."""
+        return self._announced
+
     def events_requested(self, now: int) -> None:
         """Events were requested on a new connection."""
         self._requested_at = now
--- a/threadhill/net/watch_connection.py
+++ b/threadhill/net/watch_connection.py
@@ -25,6 +25,7 @@
         super().__init__(journal.engine, journal.max_line, MAX_OUTBOUND)
         self.journal = journal
         self.connected_at = 0  # local microseconds
+        self.events = 0  # new events that came on it
         self._lines: deque[bytes] = deque()  # received and not yet processed
         self._current_line: Iterator[None] | None = None  # the rest of the line being processed
         self._continuation: asyncio.Handle | None = None  # the scheduled continuation
