--- a/tests/harness.py
+++ b/tests/harness.py
@@ -202,11 +202,16 @@
         self.events: list[dict[str, Any]] = []
         self.tails: list[int] = []
         self.silent = False  # connections stay open and send nothing, like those of a vanished machine
+        self.event_interval = 0.0  # seconds after each event; heartbeats between them announce all events
+        self.start_delay = 0.0  # seconds until a new connection is served
+        self.pieces = 1  # in how many pieces each event is written
+        self.piece_interval = 0.0  # seconds after each of them
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         last = int((await reader.readline()).split()[1])
         self.tails.append(last)
         beat = 0.0
+        await asyncio.sleep(self.start_delay)
         if self.heartbeat_first:
             await until(lambda: not self.silent or writer.is_closing())
             writer.write(self.heartbeat.value % max(last, len(self.events)))
@@ -216,14 +221,28 @@
             for event in [e for e in self.events if e["pos"] > last]:
                 if self.withheld and event["pos"] >= self.withheld:
                     break
-                writer.write(json.dumps(event).encode() + b"\n")
+                await self._write_event(writer, event)
                 last = event["pos"]
+                if self.event_interval:
+                    await writer.drain()
+                    await asyncio.sleep(self.event_interval)
+                    break
             if time.monotonic() > beat + 0.5:
                 beat = time.monotonic()
-                writer.write(self.heartbeat.value % (len(self.events) if self.withheld else last))
+                ahead = self.withheld or self.event_interval
+                writer.write(self.heartbeat.value % (len(self.events) if ahead else last))
             await writer.drain()
             await asyncio.sleep(0.005)
 
+    async def _write_event(self, writer: asyncio.StreamWriter, event: dict[str, Any]) -> None:
+        line = json.dumps(event).encode() + b"\n"
+        size = -(-len(line) // self.pieces)
+        for begin in range(0, len(line), size):
+            writer.write(line[begin : begin + size])
+            if self.piece_interval:
+                await writer.drain()
+                await asyncio.sleep(self.piece_interval)
+
     def hosts(self, *members: dict[str, Any], complete: bool = False) -> dict[str, Any]:
         return self.add({"hosts": {"revision": 1, "complete": complete, "members": list(members)}})
 
--- a/tests/test_journal_monitor.py
+++ b/tests/test_journal_monitor.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from threadhill.net.journal_monitor import DELIVERY_TIME, REPLY_GRACE, REREQUEST_DELAY, JournalMonitor, MissingPurges
+from threadhill.net.journal_monitor import (
+    DELIVERY_TIME,
+    MAX_REREQUEST_DELAY,
+    REPLY_GRACE,
+    REREQUEST_DELAY,
+    JournalMonitor,
+    MissingPurges,
+)
 
 NOW = 10_000_000
 STEP = 1_000
@@ -28,9 +35,9 @@
     assert not monitor.should_rerequest(NOW + REREQUEST_DELAY) and monitor.should_rerequest(
         NOW + REREQUEST_DELAY + STEP
     )
-    monitor.applied(8)
+    monitor.applied(8, NOW + REPLY_GRACE)
     assert monitor.missing(NOW + REPLY_GRACE + STEP)
-    monitor.applied(9)
+    monitor.applied(9, NOW + REPLY_GRACE)
     assert not monitor.missing(NOW + REREQUEST_DELAY + STEP) and not monitor.should_rerequest(
         NOW + REREQUEST_DELAY + STEP
     )
@@ -61,3 +68,47 @@
     assert monitor.missing(NOW + DELIVERY_TIME + STEP)
     monitor.heartbeat(7, 7, NOW + DELIVERY_TIME + STEP)
     assert not monitor.missing(NOW + DELIVERY_TIME + 2 * STEP) and not monitor.should_rerequest(NOW + 2 * DELIVERY_TIME)
+
+
+def test_each_event_that_arrives_begins_the_wait_for_the_rest_anew() -> None:
+    """Guards against giving up a connection on which a slow service is telling its events."""
+    monitor = JournalMonitor(NOW)
+    monitor.heartbeat(50, 7, NOW)
+    now = NOW
+    for number in range(8, 20):
+        now += REREQUEST_DELAY
+        assert not monitor.should_rerequest(now)
+        monitor.applied(number, now)
+    monitor.applied(19, now + REREQUEST_DELAY)  # told again: this is no progress
+    assert monitor.should_rerequest(now + REREQUEST_DELAY + STEP)
+    assert not monitor.should_rerequest(now + REREQUEST_DELAY + STEP, now + STEP)  # a long line is arriving
+
+
+def test_a_new_connection_has_the_whole_wait_also_after_its_first_line() -> None:
+    monitor = JournalMonitor(NOW)
+    monitor.heartbeat(8, 7, NOW)
+    now = NOW + 10 * REREQUEST_DELAY
+    monitor.events_requested(now)
+    monitor.line_received()
+    assert not monitor.should_rerequest(now + REREQUEST_DELAY) and monitor.should_rerequest(
+        now + REREQUEST_DELAY + STEP
+    )
+
+
+def test_the_wait_doubles_with_each_request_until_the_announced_events_are_there() -> None:
+    """Guards against asking a crowded service again and again in less time than it takes."""
+    monitor = JournalMonitor(NOW)
+    monitor.heartbeat(8, 7, NOW)
+    now, waits = NOW, []
+    for _ in range(7):
+        wait = next(
+            wait for wait in range(STEP, DELIVERY_TIME + 2 * STEP, STEP) if monitor.should_rerequest(now + wait)
+        )
+        waits.append(wait - STEP)
+        now += wait
+        monitor.rerequested()
+        monitor.events_requested(now)
+    assert waits == [min(MAX_REREQUEST_DELAY, REREQUEST_DELAY * 2**n) for n in range(7)]
+    monitor.applied(8, now)
+    monitor.heartbeat(9, 8, now)
+    assert monitor.should_rerequest(now + REREQUEST_DELAY + STEP)
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -52,7 +52,6 @@
         self.name, self.report = name, report  # report names the configuration in reports; None: send none
         self.events = EventApplier(engine, caches, log)
         self.last_line_at = 0  # local microseconds
-        self.last_event_at = engine.clock.now()  # when the last new event was applied
         self.monitor = JournalMonitor(engine.clock.now())
         self._missing = MissingPurges()  # what the decision module was last told may be missing
         self.address: tuple[str, int] | None = None
@@ -187,19 +186,27 @@
             self.log(f"journal: silent, reconnecting {(now - self.last_line_at) / 1e6:.1f} s after the last line")
             self.engine.stats.count("journal", "silent")
             self.connection.abort()
-        elif self.connection is not None and self.monitor.should_rerequest(now):
+        elif self._events_overdue(now):
             self.log(
                 f"journal: events after {self.pos} were announced and did not come: they are asked for again "
                 f"({self._describe_progress(now)})"
             )
             self.engine.stats.count("journal", "announced, not told")
+            self.monitor.rerequested()
             self.connection.abort()
         self._update_missing(now)
         self.engine.deadlines.add(now + 100_000, self._check)
 
+    def _events_overdue(self, now: int) -> bool:
+        """Whether announced events do not arrive. What has arrived and is not applied yet is not overdue."""
+        connection = self.connection
+        if connection is None or connection.busy or connection.has_unread_input():
+            return False
+        return self.monitor.should_rerequest(now, connection.line_progress_at())
+
     def _describe_progress(self, now: int) -> str:
         """What the connection brought, for the log line of its end."""
-        age, since_event = now - self.connection.connected_at, now - self.last_event_at
+        age, since_event = now - self.connection.connected_at, now - self.monitor.applied_at
         return (
             f"up to {self.monitor.announced} were announced; the connection is {age / 1e6:.2f} s old and brought "
             f"{self.connection.events} events, the last event came {since_event / 1e6:.2f} s ago"
@@ -262,11 +269,9 @@
             self._retry_delay = MIN_RETRY_DELAY
         known = self.pos
         yield from self.events.apply_steps(event)
-        self.monitor.applied(self.pos)
-        if self.pos != known:
-            self.last_event_at = self.engine.clock.now()
-            if self.connection is not None:
-                self.connection.events += 1
+        self.monitor.applied(self.pos, self.engine.clock.now())
+        if self.pos != known and self.connection is not None:
+            self.connection.events += 1
 
     def _skip_to(self, pos: int) -> None:
         """The service did not send the events between when asked again: any object may have been purged."""
--- a/threadhill/net/journal_monitor.py
+++ b/threadhill/net/journal_monitor.py
@@ -1,8 +1,12 @@
-"""Tracks whether purges may be missing here, and which.
+"""Tracks whether purges may be missing here, and which, and when the events have to be requested again.
 
 Discovery counts an event as delivered once it has it, or soon after, whether or not it has reached this process. So
 purges may be missing if the service has been silent for long, if it does not answer a request for events, or if the
 event of a number in its heartbeat does not arrive.
+
+Announced events are requested again on a new connection if none of them arrives for a while. A service that is slow
+or crowded must not be asked more often for that: whatever arrives of an event begins the wait anew, and the wait
+doubles with each request until everything announced has arrived.
 """
 
 from __future__ import annotations
@@ -11,7 +15,8 @@
 
 DELIVERY_TIME = 7_000_000  # microseconds after which the protocol counts any event as delivered
 REPLY_GRACE = 250_000  # microseconds allowed for an immediate answer: less than the time until a purge takes effect
-REREQUEST_DELAY = 400_000  # microseconds after which announced events that did not arrive are requested again
+REREQUEST_DELAY = 400_000  # microseconds without an announced event after which events are requested again, at first
+MAX_REREQUEST_DELAY = DELIVERY_TIME  # microseconds; the wait doubles with each request, up to this
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,10 +36,14 @@
 
     def __init__(self, now: int) -> None:
         self.current_at = now  # when all existing events were last known to be applied
-        self._requested_at = 0  # when events were requested on a connection that has sent nothing yet; 0: none
+        self._requested_at = 0  # when events were last requested
+        self._answered = True  # something has been received since
         self._announced = 0  # the greatest number in a heartbeat whose event has not arrived; 0: none
         # When the first and the last pending event were announced.
         self._first_announced_at = self._last_announced_at = 0
+        self._applied = 0  # the number of the last event applied
+        self.applied_at = now  # when that was
+        self._rerequests = 0  # how often the pending events were requested again
 
     @property
     def announced(self) -> int:
@@ -43,39 +52,54 @@
 
     def events_requested(self, now: int) -> None:
         """Events were requested on a new connection."""
-        self._requested_at = now
+        self._requested_at, self._answered = now, False
 
     def line_received(self) -> None:
         """The connection sent a line, so it is answering the request."""
-        self._requested_at = 0
+        self._answered = True
 
     def heartbeat(self, number: int, applied: int, now: int) -> None:
         """The service's last event has this number, the last one applied here is `applied`. A lower number comes from a
         service that lags behind and may not have all events. Events announced by another service are no longer
         expected once they count as delivered."""
         if number <= applied and now - self._last_announced_at > DELIVERY_TIME:
-            self._announced = self._first_announced_at = 0
+            self._nothing_pending()
         if number == applied:
             self.current_at = now
         elif number > max(applied, self._announced):
             self._first_announced_at = self._first_announced_at or now
             self._announced, self._last_announced_at = number, now
 
-    def applied(self, number: int) -> None:
+    def applied(self, number: int, now: int) -> None:
         """Events up to this number are applied."""
+        if number != self._applied:
+            self._applied, self.applied_at = number, now
         if self._announced and number >= self._announced:
-            self._announced = self._first_announced_at = 0
+            self._nothing_pending()
+
+    def _nothing_pending(self) -> None:
+        self._announced = self._first_announced_at = self._rerequests = 0
+
+    def should_rerequest(self, now: int, line_progress_at: int = 0) -> bool:
+        """Whether announced events are overdue, so that they are to be requested on a new connection.
+        `line_progress_at` is when a part of a line arrived that is not complete yet; 0: there is none."""
+        waiting_since = max(self._first_announced_at, self._requested_at, self.applied_at, line_progress_at)
+        return self._announced > 0 and now - waiting_since > self._rerequest_delay()
+
+    def _rerequest_delay(self) -> int:
+        return min(MAX_REREQUEST_DELAY, REREQUEST_DELAY << self._rerequests)
 
-    def should_rerequest(self, now: int) -> bool:
-        """Whether announced events are overdue, so that they are to be requested on a new connection."""
-        return self._announced > 0 and now - max(self._first_announced_at, self._requested_at) > REREQUEST_DELAY
+    def rerequested(self) -> None:
+        """The connection is given up, as announced events were overdue on it."""
+        self._rerequests += 1
 
     def missing(self, now: int) -> MissingPurges:
         """Which purges may be missing now."""
+        unanswered_since = 0 if self._answered else self._requested_at
         overdue = [
             missing_before
             for waiting_since, missing_before in (
-                (self._requested_at, self._requested_at),
+                (unanswered_since, unanswered_since),
                 (self._first_announced_at, self._last_announced_at),
             )
             if waiting_since and now - waiting_since > REPLY_GRACE
--- a/threadhill/net/watch_connection.py
+++ b/threadhill/net/watch_connection.py
@@ -26,6 +26,7 @@
         self.journal = journal
         self.connected_at = 0  # local microseconds
         self.events = 0  # new events that came on it
+        self.last_received_at = 0  # when any input arrived last, in local microseconds
         self._lines: deque[bytes] = deque()  # received and not yet processed
         self._current_line: Iterator[None] | None = None  # the rest of the line being processed
         self._continuation: asyncio.Handle | None = None  # the scheduled continuation
@@ -53,6 +54,14 @@
         self._current_line = None
         self.journal.lost(self)
 
+    def buffer_updated(self, count: int) -> None:
+        self.last_received_at = self.journal.engine.clock.now()
+        super().buffer_updated(count)
+
+    def line_progress_at(self) -> int:
+        """When a part of a line arrived that is not complete yet; 0: there is none."""
+        return self.last_received_at if len(self.inbound) else 0
+
     @property
     def busy(self) -> bool:
         """Whether received lines are not completely processed."""
