--- a/tests/test_journal_monitor.py
+++ b/tests/test_journal_monitor.py
@@ -4,9 +4,12 @@
 
 from threadhill.net.journal_monitor import (
     DELIVERY_TIME,
-    MAX_REREQUEST_DELAY,
+    LINE_TIMEOUT,
+    MAX_LINE_TIMEOUT,
+    MAX_WAIT,
     REPLY_GRACE,
     REREQUEST_DELAY,
+    SILENCE_TIMEOUT,
     JournalMonitor,
     MissingPurges,
 )
@@ -106,9 +109,21 @@
         )
         waits.append(wait - STEP)
         now += wait
-        monitor.rerequested()
+        monitor.connection_given_up()
         monitor.events_requested(now)
-    assert waits == [min(MAX_REREQUEST_DELAY, REREQUEST_DELAY * 2**n) for n in range(7)]
+    assert waits == [min(MAX_WAIT, REREQUEST_DELAY * 2**n) for n in range(7)]
     monitor.applied(8, now)
     monitor.heartbeat(9, 8, now)
     assert monitor.should_rerequest(now + REREQUEST_DELAY + STEP)
+
+
+def test_silence_and_long_lines_are_waited_for_longer_with_each_connection_given_up() -> None:
+    monitor = JournalMonitor(NOW)
+    for n in range(6):
+        silence, line = min(MAX_WAIT, SILENCE_TIMEOUT * 2**n), min(MAX_LINE_TIMEOUT, LINE_TIMEOUT * 2**n)
+        assert not monitor.is_silent(NOW + silence, NOW) and monitor.is_silent(NOW + silence + 1, NOW)
+        assert not monitor.line_overdue(NOW + line, NOW) and monitor.line_overdue(NOW + line + 1, NOW)
+        monitor.connection_given_up()
+    assert not monitor.line_overdue(NOW + 2 * MAX_LINE_TIMEOUT, 0)
+    monitor.heartbeat(7, 7, NOW)  # up to date
+    assert monitor.is_silent(NOW + SILENCE_TIMEOUT + 1, NOW) and monitor.line_overdue(NOW + LINE_TIMEOUT + 1, NOW)
--- a/tests/test_slow_journal.py
+++ b/tests/test_slow_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from enum import Enum
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -13,7 +14,8 @@
 from threadhill.core.clock import Clock
 from threadhill.core.deadlines import Deadlines
 from threadhill.net.journal import Journal
-from threadhill.net.journal_monitor import REREQUEST_DELAY
+from threadhill.net.journal_monitor import LINE_TIMEOUT, REREQUEST_DELAY, SILENCE_TIMEOUT
+from threadhill.net.watch_connection import WatchConnection
 from threadhill.stats import Stats
 
 GROUPS = 12  # purged groups in the journal before the drain
@@ -78,24 +80,85 @@
     run_scenario(tmp_path, scene)
 
 
-@pytest.mark.parametrize(("busy", "unread", "given_up"), [(False, False, 1), (True, False, 0), (False, True, 0)])
-def test_input_that_was_not_processed_yet_is_not_overdue(busy: bool, unread: bool, given_up: int) -> None:
-    """Guards against ending a connection for a delay of this process: its events were received, and not yet applied."""
-    engine = SimpleNamespace(
-        clock=Clock(), deadlines=Deadlines(lambda when: None, lambda error: None), stats=Stats(), recovery=None
-    )
+def test_a_list_that_takes_longer_than_the_longest_silence_arrives(tmp_path: Path) -> None:
+    """Guards against judging silence by whole lines: a long list over a slow connection was ended in the middle, and
+    begun anew on the next one, for ever."""
+
+    async def scene(w: ProxyHarness) -> None:
+        w.journal.pieces, w.journal.piece_interval = 20, 0.15
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        await w.wait_for_events()
+        assert w.journal.tails == [1]
+
+    run_scenario(tmp_path, scene)
+
+
+def test_a_service_that_serves_a_new_connection_late_is_given_more_time(tmp_path: Path) -> None:
+    """Guards against ending each connection after the same silence, while the service takes longer to begin."""
+
+    async def scene(w: ProxyHarness) -> None:
+        w.journal.start_delay = 2.5
+        w.journal.reset()
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        await w.wait_for_events()
+        assert len(w.journal.tails) <= 3
+
+    run_scenario(tmp_path, scene)
+
+
+def test_a_line_that_never_ends_is_given_up(tmp_path: Path) -> None:
+    """Guards against a connection that sends a byte now and then, and no event any more."""
+
+    async def scene(w: ProxyHarness) -> None:
+        w.journal.pieces, w.journal.piece_interval = 10_000, 0.2
+        w.journal.hosts(w.caches[0].member("DRAINING"))
+        await w.logged("a line is not whole after")
+        w.journal.pieces = 1
+        await w.wait_for_events()
+
+    run_scenario(tmp_path, scene)
+
+
+def watched(journal_engine: SimpleNamespace) -> tuple[Journal, WatchConnection, list[bool]]:
+    """A journal client with a connection, and a list that gets an entry when the connection is given up."""
     ended: list[bool] = []
-    journal = Journal(engine, SimpleNamespace(), lambda text: None)
-    now = journal.last_line_at = engine.clock.now()
-    journal.monitor.heartbeat(2, 1, now - REREQUEST_DELAY)
-    journal.monitor.applied_at = now - REREQUEST_DELAY - 1
-    journal.connection = SimpleNamespace(
-        busy=busy,
-        has_unread_input=lambda: unread,
-        line_progress_at=lambda: 0,
-        abort=lambda: ended.append(True),
-        connected_at=now,
-        events=0,
-    )
+    journal = Journal(journal_engine, SimpleNamespace(), lambda text: None)
+    connection = journal.connection = WatchConnection(journal)
+    connection.connected_at = connection.last_received_at = journal_engine.clock.now()
+    connection.has_unread_input = lambda: False
+    connection.abort = lambda: ended.append(True)
+    return journal, connection, ended
+
+
+def engine() -> SimpleNamespace:
+    """What a journal client needs of an engine."""
+    return SimpleNamespace(clock=Clock(), deadlines=Deadlines(lambda when: None, lambda error: None), stats=Stats())
+
+
+class Overdue(Enum):
+    """A reason to give up a connection."""
+
+    SILENT = "silent"
+    EVENTS = "events"
+    LINE = "line"
+
+
+@pytest.mark.parametrize("reason", list(Overdue))
+@pytest.mark.parametrize(("busy", "unread"), [(False, False), (True, False), (False, True)])
+def test_input_that_was_not_processed_yet_is_not_overdue(reason: Overdue, busy: bool, unread: bool) -> None:
+    """Guards against ending a connection for a delay of this process: what it wants was received, and not yet read or
+    applied."""
+    journal, connection, ended = watched(engine())
+    now = journal.engine.clock.now()
+    if reason is Overdue.SILENT:
+        connection.last_received_at = now - SILENCE_TIMEOUT - 1
+    elif reason is Overdue.LINE:
+        connection.line_began_at = now - LINE_TIMEOUT - 1
+    else:
+        journal.monitor.heartbeat(2, 1, now - REREQUEST_DELAY - 1)
+        journal.monitor.applied_at = 0
+    if busy:
+        connection._lines.append(b"1")
+    connection.has_unread_input = lambda: unread
     journal._check()
-    assert len(ended) == given_up
+    assert bool(ended) is not (busy or unread)
--- a/threadhill/net/journal.py
+++ b/threadhill/net/journal.py
@@ -24,7 +24,6 @@
     from threadhill.recovery.proxy import Recovery
 
 MAX_LINE = 1 << 20  # default limit of a line, in bytes: a list of thousands of servers
-SILENCE_TIMEOUT = 1_700_000  # microseconds without a line after which to reconnect; the service sends one every second
 CONNECT_TIMEOUT = 0.5  # seconds
 MIN_RETRY_DELAY = 50_000  # microseconds between connection attempts, doubled after each that brought nothing new
 MAX_RETRY_DELAY = 400_000  # microseconds; events missed in a break count as delivered 2 s after it
@@ -51,7 +50,6 @@
         self.max_line = line
         self.name, self.report = name, report  # report names the configuration in reports; None: send none
         self.events = EventApplier(engine, caches, log)
-        self.last_line_at = 0  # local microseconds
         self.monitor = JournalMonitor(engine.clock.now())
         self._missing = MissingPurges()  # what the decision module was last told may be missing
         self.address: tuple[str, int] | None = None
@@ -120,7 +118,6 @@
             self._check()
 
     def _connect(self) -> None:
-        self.last_line_at = self.engine.clock.now()
         self._task = asyncio.get_running_loop().create_task(self._dial(WatchConnection(self), *self.address))
 
     async def _dial(self, connection: WatchConnection, host: str, port: int) -> None:
@@ -180,29 +177,31 @@
             )
 
     def _check(self) -> None:
-        """Reconnect if the connection is silent, which may mean it is dead, or announced events do not arrive."""
+        """Reconnect if the connection is silent, which may mean it is dead, or does not bring what it should."""
         now = self.engine.clock.now()
-        if self.connection is not None and now - self.last_line_at > SILENCE_TIMEOUT:
-            self.log(f"journal: silent, reconnecting {(now - self.last_line_at) / 1e6:.1f} s after the last line")
-            self.engine.stats.count("journal", "silent")
-            self.connection.abort()
-        elif self._events_overdue(now):
-            self.log(
-                f"journal: events after {self.pos} were announced and did not come: they are asked for again "
-                f"({self._describe_progress(now)})"
-            )
-            self.engine.stats.count("journal", "announced, not told")
-            self.monitor.rerequested()
-            self.connection.abort()
+        connection = self.connection
+        if connection is not None and not connection.has_unprocessed_input():
+            if self.monitor.is_silent(now, connection.last_received_at):
+                silence = (now - connection.last_received_at) / 1e6
+                self._give_up("silent", f"silent, reconnecting {silence:.1f} s after the last input")
+            elif self.monitor.line_overdue(now, connection.line_began_at):
+                seconds = (now - connection.line_began_at) / 1e6
+                self._give_up("line not whole", f"a line is not whole after {seconds:.1f} s, reconnecting")
+            elif self.monitor.should_rerequest(now, connection.line_progress_at()):
+                self._give_up(
+                    "announced, not told",
+                    f"events after {self.pos} were announced and did not come: they are asked for again "
+                    f"({self._describe_progress(now)})",
+                )
         self._update_missing(now)
         self.engine.deadlines.add(now + 100_000, self._check)
 
-    def _events_overdue(self, now: int) -> bool:
-        """Whether announced events do not arrive. What has arrived and is not applied yet is not overdue."""
-        connection = self.connection
-        if connection is None or connection.busy or connection.has_unread_input():
-            return False
-        return self.monitor.should_rerequest(now, connection.line_progress_at())
+    def _give_up(self, counter: str, reason: str) -> None:
+        """Give up the connection; events are requested on a new one."""
+        self.log(f"journal: {reason}")
+        self.engine.stats.count("journal", counter)
+        self.monitor.connection_given_up()
+        self.connection.abort()
 
     def _describe_progress(self, now: int) -> str:
         """What the connection brought, for the log line of its end."""
@@ -229,7 +228,7 @@
             self.engine.stats.count("journal", "up to date again")
         self.engine.purges_uncertain(missing.age, now - missing.before if missing.before else 0)
 
-    def _heartbeat(self, number: int) -> None:
+    def _heartbeat(self, number: int, now: int) -> None:
         """Handle the service's last number, which announces events but does not replace them."""
         if self.recovery is not None and self.recovery.is_rollback(self.pos, number):
             self.pos, self._gap_after = 0, -1
@@ -237,18 +236,17 @@
                 f"last number {number} after {self.recovery.departed.resume_at}: all events are requested again"
             )
         self._retry_delay = MIN_RETRY_DELAY
-        self.monitor.heartbeat(number, self.pos, self.last_line_at)
-        self._update_missing(self.last_line_at)
+        self.monitor.heartbeat(number, self.pos, now)
+        self._update_missing(now)
 
     def receive_line(self, line: bytes) -> Iterator[None]:
         """Process one line of the service in slices. Malformed or ValueError if the connection must be dropped."""
-        self.last_line_at = self.engine.clock.now()
         self.monitor.line_received()
         value = orjson.loads(line)
         # An object with only a number is a heartbeat too: as an event, it would suppress the one with that number.
         heartbeat = read_heartbeat(value)
         if heartbeat is not None:
-            self._heartbeat(heartbeat)
+            self._heartbeat(heartbeat, self.engine.clock.now())
             return
         # A protocol extension, sent to proxies whose reports have `knows`.
         if isinstance(value, dict) and "hint" in value:
--- a/threadhill/net/journal_monitor.py
+++ b/threadhill/net/journal_monitor.py
@@ -4,9 +4,9 @@
 purges may be missing if the service has been silent for long, if it does not answer a request for events, or if the
 event of a number in its heartbeat does not arrive.
 
-Announced events are requested again on a new connection if none of them arrives for a while. A service that is slow
-or crowded must not be asked more often for that: whatever arrives of an event begins the wait anew, and the wait
-doubles with each request until everything announced has arrived.
+A connection is given up, and events are requested on a new one, if announced events do not arrive for a while, if it
+is silent, or if a line takes too long. A service that is slow or crowded must not be asked more often for that:
+whatever arrives begins the waits anew, and they double with each connection given up until all is up to date.
 """
 
 from __future__ import annotations
@@ -16,7 +16,10 @@
 DELIVERY_TIME = 7_000_000  # microseconds after which the protocol counts any event as delivered
 REPLY_GRACE = 250_000  # microseconds allowed for an immediate answer: less than the time until a purge takes effect
 REREQUEST_DELAY = 400_000  # microseconds without an announced event after which events are requested again, at first
-MAX_REREQUEST_DELAY = DELIVERY_TIME  # microseconds; the wait doubles with each request, up to this
+SILENCE_TIMEOUT = 1_700_000  # microseconds without input, at first; the service sends a line every second
+MAX_WAIT = DELIVERY_TIME  # microseconds; limit of these two waits
+LINE_TIMEOUT = DELIVERY_TIME  # microseconds in which a line must be complete, at first
+MAX_LINE_TIMEOUT = 8 * LINE_TIMEOUT
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +46,7 @@
         self._first_announced_at = self._last_announced_at = 0
         self._applied = 0  # the number of the last event applied
         self.applied_at = now  # when that was
-        self._rerequests = 0  # how often the pending events were requested again
+        self._given_up = 0  # connections given up since everything was up to date
 
     @property
     def announced(self) -> int:
@@ -65,7 +68,7 @@
         if number <= applied and now - self._last_announced_at > DELIVERY_TIME:
             self._nothing_pending()
         if number == applied:
-            self.current_at = now
+            self.current_at, self._given_up = now, 0
         elif number > max(applied, self._announced):
             self._first_announced_at = self._first_announced_at or now
             self._announced, self._last_announced_at = number, now
@@ -78,20 +81,28 @@
             self._nothing_pending()
 
     def _nothing_pending(self) -> None:
-        self._announced = self._first_announced_at = self._rerequests = 0
+        self._announced = self._first_announced_at = self._given_up = 0
 
     def should_rerequest(self, now: int, line_progress_at: int = 0) -> bool:
         """Whether announced events are overdue, so that they are to be requested on a new connection.
         `line_progress_at` is when a part of a line arrived that is not complete yet; 0: there is none."""
         waiting_since = max(self._first_announced_at, self._requested_at, self.applied_at, line_progress_at)
-        return self._announced > 0 and now - waiting_since > self._rerequest_delay()
+        return self._announced > 0 and now - waiting_since > self._wait(REREQUEST_DELAY, MAX_WAIT)
 
-    def _rerequest_delay(self) -> int:
-        return min(MAX_REREQUEST_DELAY, REREQUEST_DELAY << self._rerequests)
+    def is_silent(self, now: int, received_at: int) -> bool:
+        """Whether a connection is silent, on which something arrived last at this time: it may be dead."""
+        return now - received_at > self._wait(SILENCE_TIMEOUT, MAX_WAIT)
 
-    def rerequested(self) -> None:
-        """The connection is given up, as announced events were overdue on it."""
-        self._rerequests += 1
+    def line_overdue(self, now: int, began_at: int) -> bool:
+        """Whether a line that began to arrive at this time (0: none) takes too long."""
+        return began_at > 0 and now - began_at > self._wait(LINE_TIMEOUT, MAX_LINE_TIMEOUT)
+
+    def connection_given_up(self) -> None:
+        """A connection is given up for one of these reasons."""
+        self._given_up += 1
+
+    def _wait(self, first: int, limit: int) -> int:
+        return min(limit, first << self._given_up)
 
     def missing(self, now: int) -> MissingPurges:
         """Which purges may be missing now."""
--- a/threadhill/net/watch_connection.py
+++ b/threadhill/net/watch_connection.py
@@ -26,7 +26,8 @@
         self.journal = journal
         self.connected_at = 0  # local microseconds
         self.events = 0  # new events that came on it
-        self.last_received_at = 0  # when any input arrived last, in local microseconds
+        self.last_received_at = 0  # when any input arrived last, in local microseconds; before that, when it connected
+        self.line_began_at = 0  # when the line that is incomplete began to arrive; 0: none is
         self._lines: deque[bytes] = deque()  # received and not yet processed
         self._current_line: Iterator[None] | None = None  # the rest of the line being processed
         self._continuation: asyncio.Handle | None = None  # the scheduled continuation
@@ -35,7 +36,7 @@
         if self.journal.connecting is not self:  # superseded or abandoned meanwhile
             self.abort()
             return
-        self.connected_at = self.journal.last_line_at = self.journal.engine.clock.now()
+        self.connected_at = self.last_received_at = self.journal.engine.clock.now()
         self.journal.connection, self.journal.connecting = self, None
         if self.journal.recovery is not None:
             self.journal.recovery.connected()
@@ -60,7 +61,11 @@
 
     def line_progress_at(self) -> int:
         """When a part of a line arrived that is not complete yet; 0: there is none."""
-        return self.last_received_at if len(self.inbound) else 0
+        return self.last_received_at if self.line_began_at else 0
+
+    def has_unprocessed_input(self) -> bool:
+        """Whether input has arrived that is not applied yet, so that this process is late, and not the service."""
+        return self.busy or self.has_unread_input()
 
     @property
     def busy(self) -> bool:
@@ -71,10 +76,18 @@
         data = self.inbound.peek(len(self.inbound))
         end_of_lines = data.rfind(b"\n") + 1
         self.inbound.skip(end_of_lines)
+        self._note_incomplete_line(end_of_lines > 0)
         self._lines.extend(data[:end_of_lines].splitlines())
         if self._continuation is None:
             self._process_lines()
 
+    def _note_incomplete_line(self, new_line: bool) -> None:
+        """Note when the line that is incomplete began; `new_line`: the one before it is complete now."""
+        if not len(self.inbound):
+            self.line_began_at = 0
+        elif new_line or not self.line_began_at:
+            self.line_began_at = self.last_received_at
+
     def _process_lines(self) -> None:
         """Process lines for one time slice; the remaining lines, or the rest of a long one, follow after other work."""
         pos_before = self.journal.pos
