Tell with a breach of the soak every step that the process traced of its request

It now lists the trace entries of the request, and says where there are none.

The test fails without the change (no such lines in the report).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
     Removal,
     ServerAttempt,
 )
+from threadhill.standin.soak.report import timeline
 
 ROOT = Path(__file__).resolve().parent.parent
 THING, SERVER, PARENT, PROCESS = "7f3a9c21e0b4d655", "s-00000001", "s-00000002", "n0#1"
@@ -242,3 +243,19 @@
         check=False,
     )
     assert done.returncode == 1 and '"held' not in done.stdout
+
+
+def test_a_breach_is_told_with_the_whole_trace_of_its_request() -> None:
+    """Guards against a report that cannot tell a request that was read and dropped from one that was never read."""
+    run = Run()
+    closed(run)
+    (breach,) = judge(deployment(), run.record)
+    long_before = '{"at_us":1,"step":"attempt","request":"00fa1b548057ea7c"},' * 20
+    log = (
+        f'trace: [{long_before}{{"at_us":2,"step":"answer","request":"{run.request.rid}","answer":"failed"}}]\n'
+        f'trace: [{{"at_us":3,"step":"attempt","request":"{run.request.rid}"\n'  # cut short
+        "trace: [1]\n"
+    )
+    told = timeline(run.record, breach, {"n0": log})
+    assert f'{{"at_us":2,"step":"answer","request":"{run.request.rid}","answer":"failed"}}' in told
+    assert "none: it was not read" in timeline(run.record, breach, {"n0": "trace: []\n"})
--- a/threadhill/standin/soak/report.py
+++ b/threadhill/standin/soak/report.py
@@ -6,11 +6,15 @@
 from collections.abc import Mapping
 from typing import Any
 
+import orjson
+
 from threadhill.standin.soak.judge import Breach
 from threadhill.standin.soak.record import ClientRequest, Record
 
 NEAR = 8.0  # seconds before a breach of which faults are told
 LOG_LINES = 12  # last lines of a process's log that are told
+LINE_LENGTH = 200  # characters of each of them
+TRACE_MARK = "trace: "  # what a process's log has before the JSON of its last steps
 
 
 def line(result: Mapping[str, Any]) -> str:
@@ -55,11 +59,27 @@
         events += [(since, f"it stood still for {to - since:.3f} s") for since, to in life.stopped]
     told += [f"{at(when)}  {what}" for when, what in sorted(events) if when]
     log = logs.get(breach.process.partition("#")[0], "").splitlines()
-    told += ["its log:", *(one[:200] for one in log[-LOG_LINES:])]
+    told += ["its log:", *(one[:LINE_LENGTH] for one in log[-LOG_LINES:])]
+    told += ["its traces of the request:", *(_of_traces(log, breach.rid) or ["none: it was not read, or is too old"])]
     told.append(f"again: python -m benchmarks.soak --first {record.seed} --seeds 1")
     return "\n".join(told)
 
 
+def _of_traces(log: list[str], rid: str) -> list[str]:
+    """The steps of a request in all traces of a process's log; lines that were cut short are passed over."""
+    steps = []
+    for one in log:
+        _, mark, raw = one.partition(TRACE_MARK)
+        try:
+            entries = orjson.loads(raw) if mark else []
+        except ValueError:
+            continue
+        steps += [
+            orjson.dumps(entry).decode() for entry in entries if isinstance(entry, dict) and entry.get("request") == rid
+        ]
+    return steps
+
+
 def _of_request(record: Record, request: ClientRequest) -> list[tuple[float, str]]:
     events = [
         (
