--- a/benchmarks/comeback.py
+++ b/benchmarks/comeback.py
@@ -50,7 +50,7 @@
 from threadhill.control.ledger import Ledger  # noqa: E402
 from threadhill.control.sqlite import SqliteStore  # noqa: E402
 from threadhill.control.store import Change  # noqa: E402
-from threadhill.drills.verdict import back, shares  # noqa: E402
+from threadhill.drills.verdict import recovery_time, served_by_second  # noqa: E402
 from threadhill.plans.rules import Phase, Record  # noqa: E402
 from threadhill.recovery import adopt  # noqa: E402
 from threadhill.standin.dev import start_control  # noqa: E402
@@ -251,7 +251,7 @@
         watching.cancel()
         crowd.close()
         served = [(at - began, word) for at, word, took, _ in crowd.log if took <= 0.5 or word != "200"]
-        full = back(shares(served, int(CALM_S + AFTER_S)), CALM_S, kill_at - began)
+        full = recovery_time(served_by_second(served, int(CALM_S + AFTER_S)), CALM_S, kill_at - began)
         fresh = Counter(word for at, word, _, name in crowd.log if name in killed and at >= listening)
         warm = Counter(word for at, word, _, name in crowd.log if name not in killed and at >= listening)
         calm = most_in(dials, began, kill_at, CALM_S - 0.2)
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -13,9 +13,9 @@
 import pytest
 
 from tests.harness import ROOT, until
-from threadhill.drills.page import page
-from threadhill.drills.scenario import Faulty, Scenario, read
-from threadhill.drills.verdict import back, failures, shares, show
+from threadhill.drills.page import render_page
+from threadhill.drills.scenario import InvalidScenario, Scenario, read
+from threadhill.drills.verdict import evaluate, failures, recovery_time, served_by_second
 
 FILES = sorted((ROOT / "deploy" / "drills").glob("*.toml"))
 HEAD = 'name = "x"\n\n[fleet]\nproxies = 3\ncaches = 4\nseconds = 10.0\n'
@@ -49,7 +49,7 @@
     ],
 )
 def test_a_fault_in_a_scenario_is_told_with_its_line(text: str, line: int, said: str) -> None:
-    with pytest.raises(Faulty) as told:
+    with pytest.raises(InvalidScenario) as told:
         read(text, "drill.toml")
     assert said in str(told.value), told.value
     assert f"drill.toml:{line}:" in str(told.value) or "line 1" in said, told.value
@@ -72,7 +72,7 @@
             {"at": 1.0, "do": "stop", "to": 0.5},
         ]
     )
-    assert one.chosen(one.faults[0]) == ["s-00000001", "s-00000002"] and one.chosen(one.faults[1]) == ["p0", "p1"]
+    assert one.targets(one.faults[0]) == ["s-00000001", "s-00000002"] and one.targets(one.faults[1]) == ["p0", "p1"]
     assert one.faults[0].times == [1.0, 1.5, 2.0] and one.last_fault == 2.0
 
 
@@ -88,16 +88,16 @@
     ],
 )  # by what was served before
 def test_full_service_is_back_when_it_stays(by_second: list[float], last: float, expected: float | None) -> None:
-    assert back(by_second, 2.0, last) == expected
+    assert recovery_time(by_second, 2.0, last) == expected
 
 
 def test_the_verdict_names_what_was_expected_and_is_not_so() -> None:
     answers = [(n / 10, "200" if n < 20 or n >= 40 else "lost") for n in range(80)]
-    assert shares(answers, 8) == (1.0, 1.0, 0.0, 0.0, 1.0, 1.0, 1.0, 1.0)
+    assert served_by_second(answers, 8) == (1.0, 1.0, 0.0, 0.0, 1.0, 1.0, 1.0, 1.0)
     one = scenario(expect={"served": 0.9, "worst_second": 0.5, "back_s": 1.0, "lost": 5})
-    shown = show(answers, one, double=1, drained_sends=2)
-    assert shown.back_s == 2.0 and shown.lost == 20
-    assert [line.split()[0] for line in failures(shown, one)] == [
+    result = evaluate(answers, one, double=1, drained_sends=2)
+    assert result.back_s == 2.0 and result.lost == 20
+    assert [line.split()[0] for line in failures(result, one)] == [
         "served",
         "worst_second",
         "lost",
@@ -105,8 +105,8 @@
         "drained_sends",
         "full",
     ]
-    assert not failures(show([(n / 10, "200") for n in range(80)], one, 0, 0), one)
-    assert "failed" in page(shown, one) and "served is 0.750" in page(shown, one)
+    assert not failures(evaluate([(n / 10, "200") for n in range(80)], one, 0, 0), one)
+    assert "failed" in render_page(result, one) and "served is 0.750" in render_page(result, one)
 
 
 async def command(*words: str) -> asyncio.subprocess.Process:
--- a/threadhill/drills/page.py
+++ b/threadhill/drills/page.py
@@ -1,11 +1,11 @@
-"""A page about one drill: its verdict, figures, and the served share by the second beside the faults."""
+"""Renders the HTML page of a drill: verdict, figures, and the served share per second with the faults marked."""
 
 from __future__ import annotations
 
 from jinja2 import Environment, select_autoescape
 
 from threadhill.drills.scenario import Scenario
-from threadhill.drills.verdict import Shown, failures
+from threadhill.drills.verdict import DrillResult, failures
 
 WIDTH, HEIGHT = 720, 180
 TEMPLATE = """<!doctype html>
@@ -26,23 +26,23 @@
 """  # noqa: E501
 
 
-def page(shown: Shown, scenario: Scenario) -> str:
-    """The page, whole."""
-    step = WIDTH / max(1, len(shown.by_second) - 1)
-    points = " ".join(f"{n * step:.1f},{HEIGHT - (HEIGHT - 4) * share:.1f}" for n, share in enumerate(shown.by_second))
+def render_page(result: DrillResult, scenario: Scenario) -> str:
+    """The complete page."""
+    step = WIDTH / max(1, len(result.by_second) - 1)
+    points = " ".join(f"{n * step:.1f},{HEIGHT - (HEIGHT - 4) * share:.1f}" for n, share in enumerate(result.by_second))
     marks = [
         {
             "x": round(fault.at * step, 1),
             "y": HEIGHT - 8 - 14 * (number % 8),
-            "text": f"{fault.do} {', '.join(scenario.chosen(fault)[:2])}",
+            "text": f"{fault.do} {', '.join(scenario.targets(fault)[:2])}",
         }
-        for number, fault in enumerate(sorted(scenario.faults, key=lambda one: one.at))
+        for number, fault in enumerate(sorted(scenario.faults, key=lambda fault: fault.at))
     ]
     environment = Environment(autoescape=select_autoescape(default=True, default_for_string=True))
-    figures = {name: value for name, value in shown.told(scenario).items() if name not in ("failures", "drill")}
+    figures = {name: value for name, value in result.report(scenario).items() if name not in ("failures", "drill")}
     return environment.from_string(TEMPLATE).render(
         scenario=scenario,
-        faults=failures(shown, scenario),
+        faults=failures(result, scenario),
         points=points,
         marks=marks,
         figures=figures,
--- a/threadhill/drills/run.py
+++ b/threadhill/drills/run.py
@@ -1,4 +1,4 @@
-"""Plays a scenario on processes of this program, with stand-ins and links in this one."""
+"""Plays a scenario on real proxy processes; stand-in servers and links run in this process."""
 
 from __future__ import annotations
 
@@ -11,17 +11,17 @@
 from pathlib import Path
 
 from threadhill.drills.scenario import Fault, Installation, Scenario
-from threadhill.drills.verdict import Shown, show
+from threadhill.drills.verdict import DrillResult, evaluate
 from threadhill.standin.links import LinkChange, apply_change
 from threadhill.standin.swarm import LoadGenerator, Swarm, location_settings
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-GRACE = 0.25  # seconds after the journal told of a drain in which sends still count as before it
-COLD_S = 16.0  # seconds that a cache that came back takes to be warm, unless the scenario says how many
+DRAIN_GRACE = 0.25  # seconds after a drain was published in which sends to the server are still allowed
+WARM_UP = 16.0  # seconds that a restarted cache takes to be warm, unless the scenario gives another time
 
 
 def operator_text(fleet: Installation) -> str:
-    """The proxies' operator file; empty: none."""
+    """The contents of the proxies' operator file; empty: there is none."""
     hints = "[knowledge]\nshare = true\n" if fleet.hints else ""
     return hints + ('[recovery]\ntrust_ms = 2000\nstate_folder = "."\nevery_ms = 500\n' if fleet.recovery else "")
 
@@ -39,62 +39,62 @@
             scenario.fleet.hints,
             operator=operator_text(scenario.fleet),
         )
-        self.drained: dict[str, float] = {}  # cache -> when the journal told of its drain
+        self.drained: dict[str, float] = {}  # cache -> when its drain was published, in Unix seconds
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def play(self, progress: Callable[[float], None]) -> Shown:
-        """Start everything, play the faults while clients ask, and tell what it showed; all has ended then."""
+    async def play(self, progress: Callable[[float], None]) -> DrillResult:
+        """Start all processes, inject the faults under load, evaluate the result, and end all processes."""
         fleet = self.scenario.fleet
         try:
             await self.swarm.start_servers(fleet.caches, fleet.parents, behind_relays=True)
             await self.swarm.launch([self.swarm.configure(f"p{n}").name for n in range(fleet.proxies)])
-            crowd = LoadGenerator(self.swarm, fleet.rate, fleet.objects, seed=self.scenario.seed)
-            await crowd.run(1.5)  # the first requests of all open connections
-            crowd.log.clear()
-            crowd.duplicate_answers = 0
+            load = LoadGenerator(self.swarm, fleet.rate, fleet.objects, seed=self.scenario.seed)
+            await load.run(1.5)  # connections are opened, and not counted
+            load.log.clear()
+            load.duplicate_answers = 0
             began = time.monotonic()
             faults = [
-                asyncio.ensure_future(self._at(began + when, fault))
+                asyncio.ensure_future(self._inject_at(began + when, fault))
                 for fault in self.scenario.faults
                 for when in fault.times
             ]
-            bar = asyncio.ensure_future(self._show(began, progress))
-            await crowd.run(fleet.seconds)
-            for task in [bar, *faults]:
+            progress_task = asyncio.ensure_future(self._report_progress(began, progress))
+            await load.run(fleet.seconds)
+            for task in [progress_task, *faults]:
                 task.cancel()
-            broken = [task.exception() for task in faults if task.done() and not task.cancelled() and task.exception()]
-            if broken:
-                raise broken[0]
-            crowd.close()
-            answers = [(at - began, word) for at, word, _, _ in crowd.log]
-            return show(answers, self.scenario, crowd.duplicate_answers, self._drained_sends())
+            errors = [task.exception() for task in faults if task.done() and not task.cancelled() and task.exception()]
+            if errors:
+                raise errors[0]
+            load.close()
+            answers = [(at - began, word) for at, word, _, _ in load.log]
+            return evaluate(answers, self.scenario, load.duplicate_answers, self._drained_sends())
         finally:
             for task in self._tasks:
                 task.cancel()
             await self.swarm.close()
 
-    async def _show(self, began: float, progress: Callable[[float], None]) -> None:
+    async def _report_progress(self, began: float, progress: Callable[[float], None]) -> None:
         while True:
             progress(time.monotonic() - began)
             await asyncio.sleep(0.2)
 
-    async def _at(self, when: float, fault: Fault) -> None:
+    async def _inject_at(self, when: float, fault: Fault) -> None:
         await asyncio.sleep(max(0.0, when - time.monotonic()))
-        for name in self.scenario.chosen(fault):
-            await self._bring(name, fault)
+        for name in self.scenario.targets(fault):
+            await self._inject(name, fault)
 
-    async def _bring(self, name: str, fault: Fault) -> None:
+    async def _inject(self, name: str, fault: Fault) -> None:
         if fault.target == "link":
             await apply_change(
                 self.swarm.links[name], LinkChange(0.0, (name,), fault.do, fault.amount, fault.direction)
             )
         elif fault.target == "proxy":
-            await self._proxy(name, fault.do)
+            await self._signal_proxy(name, fault.do)
         elif fault.do == "die":
             self.swarm.fleet.servers[name].stop()
         elif fault.do == "back":
             server = self.swarm.fleet.servers[name]
-            await server.restart(cold=fault.amount or COLD_S)
+            await server.restart(cold=fault.amount or WARM_UP)
             await self.swarm.journal.add_members(self.swarm.member(name))
         elif fault.do == "drain":
             await self.swarm.journal.add_members(self.swarm.member(name, "DRAINING"))
@@ -102,7 +102,7 @@
         else:
             await self.swarm.journal.add({"expire": {"set": int(name), "stamp": int(time.time() * 1e3)}})
 
-    async def _proxy(self, name: str, do: str) -> None:
+    async def _signal_proxy(self, name: str, do: str) -> None:
         proxy = self.swarm.proxies[name]
         signum = {"stop": signal.SIGSTOP, "continue": signal.SIGCONT}.get(do)
         if signum is not None:
@@ -116,14 +116,15 @@
             self._tasks.add(task)
 
     def _drained_sends(self) -> int:
-        """Requests that came at a cache after all proxies had been told that it drains."""
+        """The number of requests that reached a cache after its drain was published to all proxies."""
         return sum(
-            a.at > told + GRACE and not a.fill
-            for name, told in self.drained.items()
-            for a in self.swarm.fleet.servers[name].arrivals
+            arrival.at > published_at + DRAIN_GRACE and not arrival.fill
+            for name, published_at in self.drained.items()
+            for arrival in self.swarm.fleet.servers[name].arrivals
         )
 
 
-async def run(scenario: Scenario, progress: Callable[[float], None]) -> Shown:
+async def run(scenario: Scenario, progress: Callable[[float], None]) -> DrillResult:
+    """Play a scenario in a temporary folder. `progress` is called with the seconds since the start of the drill."""
     with tempfile.TemporaryDirectory(prefix="threadhill-drill-") as folder:
         return await Drill(scenario, Path(folder)).play(progress)
--- a/threadhill/drills/scenario.py
+++ b/threadhill/drills/scenario.py
@@ -1,6 +1,6 @@
-"""A scenario file: the fleet, the faults in their time, and what is expected. Free of I/O.
+"""Scenario files: the fleet, the faults over time, and the expectations. Free of I/O.
 
-It is TOML, checked by pydantic; a fault in it is told with file, line and what to do.
+They are TOML, validated by pydantic; an error message names the file, the line and what is allowed.
 """
 
 from __future__ import annotations
@@ -15,16 +15,18 @@
 SERVER_KINDS = ("die", "back")
 
 
-class Faulty(Exception):
-    """The file can't be used; the text has a line for each fault."""
+class InvalidScenario(Exception):
+    """The file cannot be used; the text has one line per error."""
 
 
-class Strict(BaseModel):
+class StrictModel(BaseModel):
+    """Rejects unknown keys and values of another type."""
+
     model_config = ConfigDict(extra="forbid", strict=True)
 
 
-class Installation(Strict):
-    """What runs."""
+class Installation(StrictModel):
+    """The processes and the load."""
 
     proxies: Annotated[int, Field(ge=1, le=200)] = 12
     caches: Annotated[int, Field(ge=1, le=48)] = 8
@@ -36,8 +38,8 @@
     recovery: bool = False  # proxies keep state, trust unconfirmed news for two seconds, and then refuse
 
 
-class Fault(Strict):
-    """At so many seconds, something happens to these: links before caches or the journal, proxies, or caches."""
+class Fault(StrictModel):
+    """A fault at a time, in seconds, of some targets: links to caches or the journal, proxies, caches, or groups."""
 
     at: Annotated[float, Field(ge=0, le=300)]
     do: Literal[
@@ -66,7 +68,7 @@
     until: Annotated[float, Field(ge=0, le=300)] = 0.0
 
     @model_validator(mode="after")
-    def fits(self) -> Fault:
+    def check_fields(self) -> Fault:
         if self.do in ("delay", "slow") and not self.amount:
             raise ValueError(f'do = "{self.do}" takes an amount: seconds of delay, or bytes a second')
         if bool(self.every) != bool(self.until):
@@ -79,7 +81,7 @@
 
     @property
     def target(self) -> str:
-        """What kind of thing it happens to."""
+        """The kind of target: proxy, cache, group or link."""
         if self.do in PROXY_KINDS:
             return "proxy"
         if self.do in SERVER_KINDS or self.do == "drain":
@@ -88,15 +90,15 @@
 
     @property
     def times(self) -> list[float]:
-        """When it happens, again and again."""
-        found, at = [self.at], self.at
+        """All times at which it happens."""
+        times, at = [self.at], self.at
         while self.every and (at := at + self.every) <= self.until:
-            found.append(at)
-        return found
+            times.append(at)
+        return times
 
 
-class Expected(Strict):
-    """What has to hold for the drill to pass."""
+class Expected(StrictModel):
+    """The expectations that make the drill pass."""
 
     served: Annotated[float, Field(ge=0, le=1)] = 0.0
     worst_second: Annotated[float, Field(ge=0, le=1)] = 0.0
@@ -106,8 +108,8 @@
     drained_sends: Annotated[int, Field(ge=0)] = 0
 
 
-class Scenario(Strict):
-    """A whole file."""
+class Scenario(StrictModel):
+    """A complete scenario file."""
 
     name: Annotated[str, Field(min_length=1, max_length=80)]
     about: str = ""
@@ -117,7 +119,7 @@
     expect: Expected = Expected()
 
     @model_validator(mode="after")
-    def times_fit(self) -> Scenario:
+    def check_times(self) -> Scenario:
         for number, fault in enumerate(self.faults):
             if max(fault.times) >= self.fleet.seconds:
                 raise ValueError(
@@ -130,7 +132,7 @@
         return self
 
     def names(self, target: str) -> list[str]:
-        """All of a kind: proxies, caches, links (a cache's, or the journal's); groups have no list."""
+        """The names of all targets of a kind. A link has the name of its cache, or `journal`; groups are not listed."""
         caches = [f"s-{n:08x}" for n in range(1, self.fleet.caches + 1)]
         return {
             "proxy": [f"p{n}" for n in range(self.fleet.proxies)],
@@ -139,8 +141,8 @@
             "group": [],
         }[target]
 
-    def chosen(self, fault: Fault) -> list[str]:
-        """To whom it happens: those named, or the first of so large a part."""
+    def targets(self, fault: Fault) -> list[str]:
+        """The names of a fault's targets: those listed, or the first ones of a share."""
         if isinstance(fault.to, list):
             return fault.to
         names = [name for name in self.names(fault.target) if name != "journal"]
@@ -151,8 +153,8 @@
         return max((time for fault in self.faults for time in fault.times), default=0.0)
 
 
-def line_of(text: str, place: tuple[int | str, ...]) -> int:
-    """The line of the file that an error's place stands in, or of the table around it."""
+def line_number(text: str, place: tuple[int | str, ...]) -> int:
+    """The line of the file that holds the key at this path, or else the header of its table."""
     table, index, key = "", 0, ""
     for part in place:
         if isinstance(part, int):
@@ -175,11 +177,11 @@
 
 
 def read(text: str, file: str) -> Scenario:
-    """A scenario from its text. Raises Faulty."""
+    """Parse a scenario. Raises InvalidScenario."""
     try:
         raw: Any = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        raise Faulty(f"{file}: {error}") from None
+        raise InvalidScenario(f"{file}: {error}") from None
     try:
         return Scenario.model_validate(raw)
     except ValidationError as error:
@@ -188,6 +190,6 @@
             place = ".".join(str(part) for part in fault["loc"] if part not in ("list[str]", "constrained-float"))
             said = fault["msg"].removeprefix("Value error, ")
             named = re.match(r"faults\[(\d+)\]", said)
-            where = line_of(text, ("faults", int(named[1])) if named else fault["loc"])
+            where = line_number(text, ("faults", int(named[1])) if named else fault["loc"])
             lines.append(f"{file}:{where}: {f'{place}: ' if place else ''}{said}")
-        raise Faulty("\n".join(lines)) from None
+        raise InvalidScenario("\n".join(lines)) from None
--- a/threadhill/drills/verdict.py
+++ b/threadhill/drills/verdict.py
@@ -1,4 +1,4 @@
-"""What a drill showed, from the answers by time, and whether it is what was expected. Free of I/O."""
+"""Evaluates a drill: figures from the answers by time, and whether they meet the expectations. Free of I/O."""
 
 from __future__ import annotations
 
@@ -8,29 +8,30 @@
 
 from threadhill.drills.scenario import Scenario
 
-FULL = 0.95  # part of the share served before the first fault that is full service
-STEADY = 2  # seconds on end of it that count as being back
+FULL_SERVICE_SHARE = 0.95  # share of the service before the first fault that counts as full service
+MIN_STEADY_SECONDS = 2  # consecutive seconds of full service that count as recovered
 
 
 @dataclass(frozen=True, slots=True)
-class Shown:
-    """One drill's figures; shares by the second from the start of the drill."""
+class DrillResult:
+    """The figures of one drill; shares are per second from its start."""
 
     served: float
     refused: float
     lost: int
     double: int
     worst_second: float
-    back_s: float | None  # seconds from the last fault to full service, for good; None: not within the drill
+    back_s: float | None  # seconds from the last fault to lasting full service; None: not within the drill
     drained_sends: int
     by_second: tuple[float, ...]
 
-    def told(self, scenario: Scenario) -> dict[str, object]:
-        faults = failures(self, scenario)
+    def report(self, scenario: Scenario) -> dict[str, object]:
+        """The figures and the verdict, as printed in JSON."""
+        failed = failures(self, scenario)
         return {
             "drill": scenario.name,
-            "passed": not faults,
-            "failures": faults,
+            "passed": not failed,
+            "failures": failed,
             "served": round(self.served, 4),
             "refused": round(self.refused, 4),
             "lost": self.lost,
@@ -41,58 +42,59 @@
         }
 
 
-def shares(answers: Sequence[tuple[float, str]], seconds: int) -> tuple[float, ...]:
-    """The part served of what was asked in each second; one without any request is as the one before."""
+def served_by_second(answers: Sequence[tuple[float, str]], seconds: int) -> tuple[float, ...]:
+    """The share of requests served in each second; a second without requests has the share of the one before."""
     asked, served = Counter[int](), Counter[int]()
     for at, word in answers:
         asked[int(at)] += 1
         served[int(at)] += word == "200"
-    found: list[float] = []
+    shares: list[float] = []
     for second in range(seconds):
-        found.append(served[second] / asked[second] if asked[second] else (found[-1] if found else 1.0))
-    return tuple(found)
+        shares.append(served[second] / asked[second] if asked[second] else (shares[-1] if shares else 1.0))
+    return tuple(shares)
 
 
-def back(by_second: Sequence[float], first: float, last: float) -> float | None:
-    """Seconds from the last fault until full service came back and stayed; None where it did not, or stayed for under
-    two seconds. What was served in whole seconds before the first fault is what it is measured by."""
+def recovery_time(by_second: Sequence[float], first: float, last: float) -> float | None:
+    """Seconds from the last fault until full service was back for good; None if it was not, or for less than
+    MIN_STEADY_SECONDS. Full service is relative to the mean of the whole seconds before the first fault."""
     before = by_second[: int(first)] or (1.0,)
-    full = FULL * sum(before) / len(before)
+    full = FULL_SERVICE_SHARE * sum(before) / len(before)
     for second in range(int(last), len(by_second)):
         rest = by_second[second:]
-        if len(rest) >= STEADY and all(share >= full for share in rest):
+        if len(rest) >= MIN_STEADY_SECONDS and all(share >= full for share in rest):
             return max(0.0, second - last)
     return None
 
 
-def show(answers: Sequence[tuple[float, str]], scenario: Scenario, double: int, drained_sends: int) -> Shown:
-    """`answers`: when each request was asked, from the start of the drill, and its answer's word, or `lost`."""
+def evaluate(answers: Sequence[tuple[float, str]], scenario: Scenario, double: int, drained_sends: int) -> DrillResult:
+    """`answers` holds the send time of each request, in seconds from the start of the drill, and the status word of
+    its answer, or `lost`."""
     words = Counter(word for _, word in answers)
     total = max(1, words.total())
-    by_second = shares(answers, int(scenario.fleet.seconds))
+    by_second = served_by_second(answers, int(scenario.fleet.seconds))
     first = min((time for fault in scenario.faults for time in fault.times), default=scenario.fleet.seconds)
-    return Shown(
+    return DrillResult(
         words["200"] / total,
         words["503"] / total,
         words["lost"],
         double,
         min(by_second, default=1.0),
-        back(by_second, first, scenario.last_fault),
+        recovery_time(by_second, first, scenario.last_fault),
         drained_sends,
         by_second,
     )
 
 
-def failures(shown: Shown, scenario: Scenario) -> list[str]:
-    """What was expected and is not so, a line each."""
-    want, found = scenario.expect, []
+def failures(result: DrillResult, scenario: Scenario) -> list[str]:
+    """One line for each expectation that is not met."""
+    expected, lines = scenario.expect, []
     for name in ("served", "worst_second"):
-        if getattr(shown, name) < getattr(want, name):
-            found.append(f"{name} is {getattr(shown, name):.3f}, {getattr(want, name):g} or more was expected")
+        if getattr(result, name) < getattr(expected, name):
+            lines.append(f"{name} is {getattr(result, name):.3f}, {getattr(expected, name):g} or more was expected")
     for name in ("lost", "double", "drained_sends"):
-        if getattr(shown, name) > getattr(want, name):
-            found.append(f"{name} is {getattr(shown, name)}, {getattr(want, name)} at most was expected")
-    if scenario.faults and (shown.back_s is None or shown.back_s > want.back_s):
-        when = "not within the drill" if shown.back_s is None else f"after {shown.back_s:.1f} s"
-        found.append(f"full service is back {when}, {want.back_s:g} s at most was expected")
-    return found
+        if getattr(result, name) > getattr(expected, name):
+            lines.append(f"{name} is {getattr(result, name)}, {getattr(expected, name)} at most was expected")
+    if scenario.faults and (result.back_s is None or result.back_s > expected.back_s):
+        when = "not within the drill" if result.back_s is None else f"after {result.back_s:.1f} s"
+        lines.append(f"full service is back {when}, {expected.back_s:g} s at most was expected")
+    return lines
