Keep the longer wait for announced events while a service that lags behind is heard

Cause: a heartbeat of what is applied ended the doubling of the waits, also where another service had announced more. Proxies with several feeds would have asked them in turn every 0.4 s until the announced events count as told. Now the doubling ends once nothing announced is missing; it is bounded at five, by which all waits have reached their limits.

--- a/tests/test_journal_monitor.py
+++ b/tests/test_journal_monitor.py
@@ -127,3 +127,14 @@
     assert not monitor.line_overdue(NOW + 2 * MAX_LINE_TIMEOUT, 0)
     monitor.heartbeat(7, 7, NOW)  # up to date
     assert monitor.is_silent(NOW + SILENCE_TIMEOUT + 1, NOW) and monitor.line_overdue(NOW + LINE_TIMEOUT + 1, NOW)
+
+
+def test_a_service_that_lags_behind_does_not_shorten_the_wait_for_what_another_announced() -> None:
+    """Guards against asking all services in turn every 0.4 s, as each of them seems to be up to date."""
+    monitor = JournalMonitor(NOW)
+    monitor.heartbeat(50, 7, NOW)
+    monitor.connection_given_up()
+    monitor.events_requested(NOW + STEP)
+    monitor.heartbeat(7, 7, NOW + STEP)
+    assert not monitor.should_rerequest(NOW + STEP + 2 * REREQUEST_DELAY)
+    assert monitor.should_rerequest(NOW + STEP + 2 * REREQUEST_DELAY + 1)
--- a/threadhill/net/journal_monitor.py
+++ b/threadhill/net/journal_monitor.py
@@ -20,6 +20,7 @@
 MAX_WAIT = DELIVERY_TIME  # microseconds; limit of these two waits
 LINE_TIMEOUT = DELIVERY_TIME  # microseconds in which a line must be complete, at first
 MAX_LINE_TIMEOUT = 8 * LINE_TIMEOUT
+MAX_DOUBLINGS = 5  # of a wait; all have reached their limits by then
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +69,9 @@
         if number <= applied and now - self._last_announced_at > DELIVERY_TIME:
             self._nothing_pending()
         if number == applied:
-            self.current_at, self._given_up = now, 0
+            self.current_at = now
+            if not self._announced:
+                self._nothing_pending()
         elif number > max(applied, self._announced):
             self._first_announced_at = self._first_announced_at or now
             self._announced, self._last_announced_at = number, now
@@ -99,7 +102,7 @@
 
     def connection_given_up(self) -> None:
         """A connection is given up for one of these reasons."""
-        self._given_up += 1
+        self._given_up = min(MAX_DOUBLINGS, self._given_up + 1)
 
     def _wait(self, first: int, limit: int) -> int:
         return min(limit, first << self._given_up)
